--- a/src/bin/rookbridge-simhost/main.rs
+++ b/src/bin/rowanglade-benchlink/main.rs
@@ -1,12 +1,12 @@
-//! Hosts gateways of rookbridge on the simulator's wire. Translation only: no decision is taken here.
+//! Hosts gateways of rowanglade on the simulator's wire. Translation only: no decision is taken here.
 #![forbid(unsafe_code)]
 
 mod names;
 mod wire;
 
 use names::Names;
-use rookbridge::interface::{Action, Event};
-use rookbridge::rules::Gateway;
+use rowanglade::interface::{Action, Event};
+use rowanglade::rules::Gateway;
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 
@@ -69,7 +69,7 @@
 fn main() {
     let output = io::BufWriter::with_capacity(1 << 16, io::stdout().lock());
     if let Err(message) = serve(io::BufReader::with_capacity(1 << 16, io::stdin().lock()), output) {
-        eprintln!("rookbridge-simhost: {message}");
+        eprintln!("rowanglade-benchlink: {message}");
         std::process::exit(1);
     }
 }
--- a/src/bin/rookbridge-simhost/wire.rs
+++ b/src/bin/rowanglade-benchlink/wire.rs
@@ -1,8 +1,8 @@
 //! The simulator's wire: its messages, and their translation to the module's events and actions.
 
 use crate::names::Names;
-use rookbridge::interface as api;
-use rookbridge::interface::{Action, Attempt, Micros, SettingsError, ShardId};
+use rowanglade::interface as api;
+use rowanglade::interface::{Action, Attempt, Micros, SettingsError, ShardId};
 use serde::{Deserialize, Serialize};
 
 #[derive(Deserialize)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,8 +5,8 @@
 //! nothing; the same events give the same actions.
 //!
 //! ```
-//! use rookbridge::interface::*;
-//! use rookbridge::rules::Gateway;
+//! use rowanglade::interface::*;
+//! use rowanglade::rules::Gateway;
 //!
 //! let settings = Settings {
 //!     gateways: 1,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,4 +1,4 @@
-//! Every decision of rookbridge. Its types, events and actions stand in `src/interface.rs`.
+//! Every decision of rowanglade. Its types, events and actions stand in `src/interface.rs`.
 //!
 //! Per node: held requests in earliest-deadline order with capped push-backs, refusal on arrival by
 //! predicted completion, background work always accepted, a bound on units out that follows the speed.
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -1,5 +1,5 @@
 //! The adapter on hand-written wire lines.
-#![cfg(feature = "simhost")]
+#![cfg(feature = "benchlink")]
 
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
@@ -27,7 +27,7 @@
 }
 
 fn run(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_rookbridge-simhost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_rowanglade-benchlink"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use rookbridge::interface::*;
+use rowanglade::interface::*;
 use support::*;
 
 /// One node that has answered a request of 2 units in `took`.
@@ -189,10 +189,10 @@
 fn unusable_settings_name_the_field() {
     let mut s = settings();
     s.plans[1].weight = f64::NAN;
-    let error = rookbridge::rules::Gateway::new(s, 1).err().expect("refused");
+    let error = rowanglade::rules::Gateway::new(s, 1).err().expect("refused");
     assert_eq!(error.field, "plans[1].weight");
     let none = Settings { classes: vec![], ..settings() };
-    assert_eq!(rookbridge::rules::Gateway::new(none, 1).err().expect("refused").field, "classes");
+    assert_eq!(rowanglade::rules::Gateway::new(none, 1).err().expect("refused").field, "classes");
 }
 
 #[test]
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use rookbridge::interface::*;
+use rowanglade::interface::*;
 use support::*;
 
 #[test]
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,8 +1,8 @@
 //! A small helper: a gateway with settings made for tests, fed one event at a time.
 #![allow(dead_code)]
 
-use rookbridge::interface::*;
-use rookbridge::rules::Gateway;
+use rowanglade::interface::*;
+use rowanglade::rules::Gateway;
 
 pub const MS: Micros = 1_000;
 pub const SECOND: Micros = 1_000_000;
