Serve the platform's clients over HTTP with the module as an actor

The module, its timers and the open requests live in one actor (src/core); targets, the list and the front are actors and tasks around it (src/net/http), joined by bounded mailboxes. The settings type and the names moved out of the adapter and are shared. A place in the core's mailbox is reserved before a request or an attempt starts, so its end cannot be lost.

Read in the client library's source before relying on it: it reports a connection that ends after the request was written as a failed connect (Disconnected); src/net/http/target.rs counts that one as 'may have run'.

--- a/src/bin/rowanglade-benchlink/main.rs
+++ b/src/bin/rowanglade-benchlink/main.rs
@@ -1,11 +1,10 @@
 //! Hosts gateways of rowanglade on the simulator's wire. Translation only: no decision is taken here.
 #![forbid(unsafe_code)]
 
-mod names;
 mod wire;
 
-use names::Names;
 use rowanglade::interface::{Action, Event};
+use rowanglade::names::Names;
 use rowanglade::rules::Gateway;
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
--- a/src/bin/rowanglade-benchlink/wire.rs
+++ b/src/bin/rowanglade-benchlink/wire.rs
@@ -1,8 +1,9 @@
 //! The simulator's wire: its messages, and their translation to the module's events and actions.
 
-use crate::names::Names;
 use rowanglade::interface as api;
-use rowanglade::interface::{Action, Attempt, Micros, SettingsError, ShardId};
+use rowanglade::interface::{Action, Attempt, Micros, ShardId};
+use rowanglade::names::Names;
+use rowanglade::settings::Settings;
 use serde::{Deserialize, Serialize};
 
 #[derive(Deserialize)]
@@ -131,101 +132,6 @@
     metrics: Option<Vec<Option<f64>>>,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct Settings {
-    #[serde(default)]
-    azs: Vec<String>,
-    ceilings: Ceilings,
-    discovery: String,
-    #[serde(default)]
-    family_info: FamilyInfo,
-    grades: Vec<Grade>,
-    #[serde(default)]
-    policies: Vec<Policy>,
-    #[serde(default)]
-    report: Report,
-    rules: Rules,
-    siblings: u32,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct Ceilings {
-    #[serde(default)]
-    cancel: bool,
-    max_attempts: u32,
-    #[serde(default)]
-    max_retry_after: Micros,
-    #[serde(default)]
-    probes: bool,
-    #[serde(default)]
-    retry_after: bool,
-    #[serde(default)]
-    second_copies: bool,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "kebab-case")]
-struct FamilyInfo {
-    cold_units: Option<f64>,
-    idle_worth: Option<f64>,
-    meter_period: Option<Micros>,
-    tells_elsewhere: Option<bool>,
-    usual_units: Option<f64>,
-    within_share: Option<f64>,
-    writes: Option<Vec<bool>>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct Grade {
-    group: Option<String>,
-    hard_limit: Micros,
-    idempotency: String,
-    #[serde(default)]
-    fifo_by_key: bool,
-    late_worth: Option<f64>,
-    memory_span: Option<Micros>,
-    name: String,
-    promise: Micros,
-    worth: Option<f64>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct Policy {
-    burst: Option<f64>,
-    floor_rate: Option<f64>,
-    name: String,
-    never_over: Option<f64>,
-    nominal: Option<f64>,
-    tolerance: Option<f64>,
-    value_factor: Option<f64>,
-    weight: Option<f64>,
-}
-
-#[derive(Deserialize, Default)]
-struct Report {
-    #[serde(default)]
-    fields: Vec<String>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct Rules {
-    cold_from: Option<f64>,
-    drain_grace: Option<Micros>,
-    fall_multiple: Option<f64>,
-    tip_after: Option<Micros>,
-    warm_within: Option<Micros>,
-    must_ask_in: Option<Micros>,
-    extra_free: Option<f64>,
-    resend_ratio: Option<f64>,
-    counted_over: Option<Micros>,
-    turn_gap: Option<Micros>,
-}
-
 /// An event with its instance.
 pub enum Opened {
     Born { seed: u64, settings: Box<Settings> },
@@ -349,84 +255,6 @@
     load
 }
 
-impl Settings {
-    pub fn translate(&self, names: &mut Names) -> Result<api::Settings, SettingsError> {
-        let word = |field: String| SettingsError { field, problem: "holds an unknown word" };
-        names.zones = self.azs.clone();
-        names.classes = self.grades.iter().map(|g| g.name.clone()).collect();
-        names.plans = self.policies.iter().map(|p| p.name.clone()).collect();
-        names.fields = self.report.fields.clone();
-        let (info, rules) = (&self.family_info, &self.rules);
-        let mut classes = Vec::new();
-        for (i, g) in self.grades.iter().enumerate() {
-            classes.push(api::Class {
-                aim: g.promise,
-                deadline: g.hard_limit,
-                repeat: match g.idempotency.as_str() {
-                    "repeatable" => api::Repeat::Repeatable,
-                    "once" => api::Repeat::Once,
-                    "by_key" => api::Repeat::Keyed {
-                        group: match g.group.as_deref() {
-                            None | Some("all") => api::Group::All,
-                            Some("zone") => api::Group::Zone,
-                            Some("cell") => api::Group::Shard,
-                            _ => return Err(word(format!("grades[{i}].group"))),
-                        },
-                        span: g.memory_span.unwrap_or(0),
-                    },
-                    _ => return Err(word(format!("grades[{i}].idempotency"))),
-                },
-                in_order: g.fifo_by_key,
-                write: info.writes.as_ref().and_then(|w| w.get(i)).copied().unwrap_or(false),
-                worth: g.worth.unwrap_or(1.0),
-                late_worth: g.late_worth.unwrap_or(0.0),
-            });
-        }
-        let plan = |p: &Policy| api::Plan {
-            nominal: p.nominal.unwrap_or(0.0),
-            reserve: p.floor_rate.unwrap_or(0.0),
-            weight: p.weight.unwrap_or(1.0),
-            price: p.value_factor.unwrap_or(1.0),
-            limit: p.never_over.filter(|r| *r != 0.0).map(|rate| api::Limit {
-                rate,
-                burst: p.burst.unwrap_or(0.0),
-                slack: p.tolerance.unwrap_or(0.0),
-            }),
-        };
-        Ok(api::Settings {
-            gateways: self.siblings,
-            classes,
-            plans: self.policies.iter().map(plan).collect(),
-            rules: api::Rules {
-                drain_grace: rules.drain_grace.unwrap_or(0),
-                cold_from: rules.cold_from.unwrap_or(1.0),
-                warm_within: rules.warm_within.unwrap_or(0),
-                cold_units: info.cold_units.unwrap_or(0.0),
-                fall_window: rules.tip_after.unwrap_or(0),
-                fall_multiple: rules.fall_multiple.unwrap_or(1.0),
-                attempt_budget: rules.resend_ratio.map(|ratio| api::AttemptBudget {
-                    free: rules.extra_free.unwrap_or(0.0),
-                    ratio,
-                    window: rules.counted_over.unwrap_or(0),
-                }),
-                key_rest: rules.turn_gap.unwrap_or(0),
-                ask_within: rules.must_ask_in.unwrap_or(0),
-                attempts: self.ceilings.max_attempts,
-            },
-            list_is_asked: self.discovery == "on_request",
-            usual_units: info.usual_units.unwrap_or(1.0),
-            share_worth: info.within_share.unwrap_or(1.0),
-            spare_worth: info.idle_worth.unwrap_or(1.0),
-            meter_period: info.meter_period.unwrap_or(0),
-            tells_elsewhere: info.tells_elsewhere.unwrap_or(false),
-            may_probe: self.ceilings.probes,
-            may_cancel: self.ceilings.cancel,
-            may_copy: self.ceilings.second_copies,
-            longest_advice: if self.ceilings.retry_after { self.ceilings.max_retry_after } else { 0 },
-        })
-    }
-}
-
 #[derive(Serialize)]
 pub struct Sent {
     #[serde(rename = "gateway-id")]
--- /dev/null
+++ b/src/core/actor.rs
@@ -0,0 +1,374 @@
+//! The module's actor: it alone owns the [`Gateway`], its timers and the requests that are open.
+
+use crate::core::clock::{Clock, micros};
+use crate::core::mailbox::{Handle, ProbeReport, Report};
+use crate::core::message::{
+    Answer, Attempt, Connect, ListMessage, Listed, Message, Order, Probe, Reply, TargetMessage, Wire,
+};
+use crate::interface::{
+    Action, Attempt as Number, Entry, Event, KeyId, ListKind, Load, Micros, NodeId, NodeState, Outcome,
+    Request, RequestId, ShardId,
+};
+use crate::names::Names;
+use crate::rules::Gateway;
+use std::cell::Cell;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot, watch};
+
+/// Places in the core's mailbox: two for each descriptor's request and four for its attempts' ends.
+const MAILBOX: usize = 8_192;
+/// A request that the module has not answered this long past its deadline fails here: later than the module's
+/// own last word, and well inside the slack that the rules give.
+const BACKSTOP: Micros = 10_000;
+/// A client that says it waits longer is held to wait this long.
+const LONGEST_WAIT: Duration = Duration::from_secs(3_600);
+/// Without an answer of discovery, what is remembered of the list must do after this long.
+const TRUST_MEMORY: Duration = Duration::from_millis(1_500);
+
+/// An attempt without an outcome.
+struct Out {
+    node: NodeId,
+    sent: Micros,
+    cancel: oneshot::Sender<()>,
+}
+
+struct Open {
+    order: Rc<Order>,
+    deadline: Micros,
+    /// Taken when the final answer is given.
+    answer: Option<oneshot::Sender<Answer>>,
+    attempts: Vec<Option<Out>>,
+}
+
+struct Target {
+    line: Listed,
+    mailbox: mpsc::Sender<TargetMessage>,
+}
+
+/// The actor; [`Core::run`] is its life.
+pub struct Core {
+    gateway: Gateway,
+    names: Names,
+    clock: Clock,
+    rx: mpsc::Receiver<Message>,
+    /// Weak, so that the core ends when all others have let go of its mailbox.
+    tx: mpsc::WeakSender<Message>,
+    list: mpsc::Sender<ListMessage>,
+    connect: Connect,
+    targets: BTreeMap<NodeId, Target>,
+    requests: HashMap<RequestId, Open>,
+    backstops: BTreeSet<(Micros, RequestId)>,
+    timers: BinaryHeap<Reverse<(Micros, u64)>>,
+    /// Events that an action brought about at once; they come after the present one.
+    next: VecDeque<Event>,
+    ready: watch::Sender<bool>,
+    open: Rc<Cell<usize>>,
+}
+
+impl Core {
+    pub fn new(
+        gateway: Gateway,
+        names: Names,
+        clock: Clock,
+        list: mpsc::Sender<ListMessage>,
+        connect: Connect,
+    ) -> (Core, Handle) {
+        let (tx, rx) = mpsc::channel(MAILBOX);
+        let (ready, readiness) = watch::channel(false);
+        let open = Rc::new(Cell::new(0));
+        let core = Core {
+            gateway,
+            names,
+            clock,
+            rx,
+            tx: tx.downgrade(),
+            list,
+            connect,
+            targets: BTreeMap::new(),
+            requests: HashMap::new(),
+            backstops: BTreeSet::new(),
+            timers: BinaryHeap::new(),
+            next: VecDeque::new(),
+            ready,
+            open: Rc::clone(&open),
+        };
+        (core, Handle { tx, next: Rc::new(Cell::new(1)), ready: readiness, open })
+    }
+
+    /// Runs until every [`Handle`] is gone.
+    pub async fn run(mut self) {
+        let trust = self.clock.instant(self.clock.now()) + TRUST_MEMORY;
+        loop {
+            let timer = self.timers.peek().map(|Reverse((at, _))| *at);
+            let backstop = self.backstops.first().map(|(at, _)| *at);
+            let mut until = timer.into_iter().chain(backstop).min().map(|at| self.clock.instant(at));
+            if !*self.ready.borrow() {
+                until = Some(until.map_or(trust, |at| at.min(trust)));
+            }
+            let pause = async {
+                match until {
+                    Some(at) => tokio::time::sleep_until(at).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                message = self.rx.recv() => match message {
+                    Some(message) => self.take(message),
+                    None => return,
+                },
+                () = pause => {}
+            }
+            if !*self.ready.borrow() && tokio::time::Instant::now() >= trust {
+                self.make_ready();
+            }
+            self.due();
+        }
+    }
+
+    fn make_ready(&mut self) {
+        if self.targets.values().any(|t| t.line.state == NodeState::In) {
+            self.ready.send_replace(true);
+        }
+    }
+
+    fn take(&mut self, message: Message) {
+        match message {
+            Message::Submit { id, order, answer } => self.submit(id, order, answer),
+            Message::Gone(id) => {
+                if self.conclude(id, None) {
+                    self.feed(Event::Withdrawn { id });
+                }
+            }
+            Message::Ended { id, number, reply } => self.ended(id, number, reply),
+            Message::Probed { node, outcome, took, load } => {
+                self.feed(Event::Probed { node, outcome, took, load });
+            }
+            Message::List { wire, kind, entries } => self.list(wire, kind, entries),
+        }
+    }
+
+    fn submit(&mut self, id: RequestId, order: Order, answer: oneshot::Sender<Answer>) {
+        let deadline = self.clock.now() + micros(order.time_left.min(LONGEST_WAIT));
+        let request = Request {
+            id,
+            class: self.names.class(&order.class),
+            plan: order.plan.as_deref().and_then(|p| self.names.plan(p)),
+            volume: self.names.volume(&format!("{:016x}", order.volume)),
+            key: Some(KeyId(order.piece)),
+            units: order.units,
+            shard: order.shard.map(ShardId),
+            gateways: order.hosts,
+            deadline,
+        };
+        let open = Open { order: Rc::new(order), deadline, answer: Some(answer), attempts: Vec::new() };
+        self.requests.insert(id, open);
+        self.open.set(self.open.get() + 1);
+        self.backstops.insert((deadline + BACKSTOP, id));
+        self.feed(Event::Request(request));
+    }
+
+    /// An attempt's end. The first served one is the client's answer.
+    fn ended(&mut self, id: RequestId, number: Number, reply: Reply) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let Some(out) = open.attempts.get_mut(number.0 as usize).and_then(Option::take) else { return };
+        if reply.outcome == Outcome::Served {
+            self.conclude(id, Some(Answer::Served(reply.body)));
+        }
+        let over = self.requests.get(&id).is_none_or(|o| o.answer.is_none());
+        self.feed(Event::Outcome {
+            id,
+            attempt: number,
+            node: out.node,
+            outcome: reply.outcome,
+            took: self.clock.now().saturating_sub(out.sent),
+            over,
+            used: reply.used,
+            elsewhere: reply.elsewhere,
+            load: reply.load,
+        });
+        self.forget(id);
+    }
+
+    /// Ends a request, with an answer unless its client has gone. False: it had ended before.
+    fn conclude(&mut self, id: RequestId, answer: Option<Answer>) -> bool {
+        let Some(open) = self.requests.get_mut(&id) else { return false };
+        let Some(client) = open.answer.take() else { return false };
+        self.backstops.remove(&(open.deadline + BACKSTOP, id));
+        self.open.set(self.open.get() - 1);
+        if let Some(answer) = answer {
+            // A client that left this moment has nobody to tell.
+            let _ = client.send(answer);
+        }
+        self.forget(id);
+        true
+    }
+
+    fn forget(&mut self, id: RequestId) {
+        if self
+            .requests
+            .get(&id)
+            .is_some_and(|o| o.answer.is_none() && o.attempts.iter().all(Option::is_none))
+        {
+            self.requests.remove(&id);
+        }
+    }
+
+    /// The news of one source. Another source's targets are not in its list, and stay.
+    fn list(&mut self, wire: Wire, kind: ListKind, mut entries: Vec<Listed>) {
+        if matches!(kind, ListKind::Full | ListKind::Remembered) {
+            entries.extend(self.targets.values().filter(|t| t.line.wire != wire).map(|t| t.line.clone()));
+            for target in self.targets.values_mut().filter(|t| t.line.wire == wire) {
+                target.line.state = NodeState::Gone;
+            }
+        }
+        let mut lines = Vec::with_capacity(entries.len());
+        for line in entries {
+            let node = self.names.listed(&line.name);
+            lines.push(Entry {
+                node,
+                shard: ShardId(line.shard),
+                zone: self.names.zone(&line.zone),
+                state: line.state,
+                started: line.started,
+            });
+            match self.targets.get_mut(&node) {
+                Some(target) if target.line.addr == line.addr => target.line = line,
+                _ => {
+                    let mailbox = (self.connect)(&line);
+                    self.targets.insert(node, Target { line, mailbox });
+                }
+            }
+        }
+        self.feed(Event::List { kind, entries: lines });
+        self.targets.retain(|_, t| t.line.state != NodeState::Gone);
+        if matches!(kind, ListKind::Full | ListKind::Changes) {
+            self.make_ready();
+        }
+    }
+
+    /// Timers and backstops that are due.
+    fn due(&mut self) {
+        let now = self.clock.now();
+        while let Some(&Reverse((at, token))) = self.timers.peek()
+            && at <= now
+        {
+            self.timers.pop();
+            self.feed(Event::Wake { token });
+        }
+        while let Some(&(at, id)) = self.backstops.first()
+            && at <= now
+        {
+            // The module's own answers come before this; whatever keeps one back, the client gets its own.
+            tracing::warn!(request = id.0, "the module left a request without an answer");
+            self.conclude(id, Some(Answer::Failed));
+            self.feed(Event::Withdrawn { id });
+        }
+    }
+
+    /// Gives the module an event, and does what it says, until nothing follows from that.
+    fn feed(&mut self, event: Event) {
+        self.next.push_back(event);
+        let mut actions = Vec::new();
+        while let Some(event) = self.next.pop_front() {
+            let now = self.clock.now();
+            self.gateway.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(now, action);
+            }
+        }
+    }
+
+    fn act(&mut self, now: Micros, action: Action) {
+        match action {
+            Action::Send { id, node, timeout } => self.send(now, id, node, timeout),
+            Action::Refuse { id, wait } => {
+                self.conclude(id, Some(Answer::Refused { wait: Duration::from_micros(wait) }));
+            }
+            Action::Fail { id } => {
+                self.conclude(id, Some(Answer::Failed));
+            }
+            Action::Cancel { id, attempt } => {
+                let out = self.requests.get_mut(&id).and_then(|o| o.attempts.get_mut(attempt.0 as usize));
+                if let Some(out) = out.and_then(Option::as_mut) {
+                    // The sender's drop is the signal; the attempt still tells its end.
+                    out.cancel = oneshot::channel().0;
+                }
+            }
+            Action::Wake { token, after } => self.timers.push(Reverse((now + after, token))),
+            Action::Watch => self.ask(ListMessage::Watch),
+            Action::FetchList => self.ask(ListMessage::Fetch),
+            Action::Probe { node } => {
+                let until = self.clock.instant(now + 1_000_000);
+                let place = self.tx.upgrade().and_then(|tx| tx.try_reserve_owned().ok());
+                let sent = match (self.targets.get(&node), place) {
+                    (Some(target), Some(place)) => {
+                        let probe = Probe { until, report: ProbeReport::new(node, now, self.clock, place) };
+                        // A probe that finds no place tells so by its drop.
+                        let _ = target.mailbox.try_send(TargetMessage::Probe(probe));
+                        true
+                    }
+                    _ => false,
+                };
+                if !sent {
+                    let (outcome, load) = (Outcome::NotSent, Load::default());
+                    self.next.push_back(Event::Probed { node, outcome, took: 0, load });
+                }
+            }
+        }
+    }
+
+    fn ask(&mut self, message: ListMessage) {
+        if self.list.try_send(message).is_err() {
+            self.next.push_back(Event::List { kind: ListKind::Failed, entries: Vec::new() });
+        }
+    }
+
+    fn send(&mut self, now: Micros, id: RequestId, node: NodeId, timeout: Option<Micros>) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let number = Number(open.attempts.len() as u32);
+        let until = open.deadline.min(timeout.map_or(Micros::MAX, |t| now.saturating_add(t)));
+        let (cancel, canceled) = oneshot::channel();
+        open.attempts.push(Some(Out { node, sent: now, cancel }));
+        // Without a place for its end, or a target that takes it, the attempt never was.
+        let sent = open.answer.is_some()
+            && self.targets.get(&node).is_some_and(|target| {
+                let place = self.tx.upgrade().and_then(|tx| tx.try_reserve_owned().ok());
+                place.is_some_and(|place| {
+                    let attempt = Attempt {
+                        order: Rc::clone(&open.order),
+                        until: self.clock.instant(until),
+                        cancel: canceled,
+                        report: Report::new(id, number, place),
+                    };
+                    match target.mailbox.try_send(TargetMessage::Attempt(attempt)) {
+                        Ok(()) => true,
+                        Err(mpsc::error::TrySendError::Full(m) | mpsc::error::TrySendError::Closed(m)) => {
+                            if let TargetMessage::Attempt(attempt) = m {
+                                attempt.report.forget();
+                            }
+                            false
+                        }
+                    }
+                })
+            });
+        if !sent {
+            if let Some(out) = open.attempts.last_mut() {
+                *out = None;
+            }
+            self.next.push_back(Event::Outcome {
+                id,
+                attempt: number,
+                node,
+                outcome: Outcome::NotSent,
+                took: 0,
+                over: open.answer.is_none(),
+                used: None,
+                elsewhere: 0.0,
+                load: Load::default(),
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/core/message.rs
@@ -0,0 +1,150 @@
+//! What passes between the core and its neighbours, in no wire's words.
+
+use crate::core::mailbox::{ProbeReport, Report};
+use crate::interface::{Attempt as Number, Load, Micros, NodeId, NodeState, Outcome, RequestId};
+use bytes::Bytes;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+
+/// A client's request. A front decodes it once; a target encodes it once.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Order {
+    /// The client's own name for it.
+    pub id: String,
+    pub class: String,
+    pub plan: Option<String>,
+    pub write: bool,
+    pub volume: u64,
+    /// The piece of data.
+    pub piece: u64,
+    /// What a client of a hierarchical wire called the piece; it reaches a target unchanged.
+    pub locator: String,
+    /// The key by which targets drop a repeat.
+    pub repeat_key: Option<String>,
+    pub units: f64,
+    /// Absent: a new object.
+    pub shard: Option<u32>,
+    /// Through how many initiators the volume's requests come. 0: not told.
+    pub hosts: u32,
+    pub body: Bytes,
+    /// How long the client waits, from now.
+    pub time_left: Duration,
+}
+
+/// The one final answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// What a target made for it.
+    Served(Bytes),
+    /// A new try does no harm, after `wait`.
+    Refused {
+        wait: Duration,
+    },
+    Failed,
+}
+
+/// How an attempt ended, and what the target's answer told.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reply {
+    pub outcome: Outcome,
+    /// Of a served attempt.
+    pub body: Bytes,
+    /// Units served for the volume everywhere in a finished period, as a part of the plan's rate.
+    pub used: Option<f64>,
+    /// Units that the shard served for the volume through other initiators.
+    pub elsewhere: f64,
+    pub load: Load,
+}
+
+impl Reply {
+    /// An end without an answer of the target's.
+    pub fn bare(outcome: Outcome) -> Reply {
+        Reply { outcome, body: Bytes::new(), used: None, elsewhere: 0.0, load: Load::default() }
+    }
+}
+
+/// An attempt, as its target's actor gets it.
+#[derive(Debug)]
+pub struct Attempt {
+    pub order: Rc<Order>,
+    /// When the initiator stops waiting.
+    pub until: Instant,
+    /// Resolves, or breaks, when the core gives the attempt up.
+    pub cancel: oneshot::Receiver<()>,
+    pub report: Report,
+}
+
+/// A check of a target.
+#[derive(Debug)]
+pub struct Probe {
+    pub until: Instant,
+    pub report: ProbeReport,
+}
+
+/// What a target's actor is asked.
+#[derive(Debug)]
+pub enum TargetMessage {
+    Attempt(Attempt),
+    Probe(Probe),
+}
+
+/// Which protocol a target speaks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wire {
+    Http,
+    Iscsi,
+}
+
+/// A line of the list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listed {
+    pub name: String,
+    pub wire: Wire,
+    pub addr: SocketAddr,
+    pub zone: String,
+    pub shard: u32,
+    pub state: NodeState,
+    /// Unix time; absent: long ago.
+    pub started: Option<Micros>,
+}
+
+/// What the list's actor is asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListMessage {
+    Watch,
+    Fetch,
+}
+
+/// Makes the actor of a target, which lives as long as its mailbox is held.
+pub type Connect = Box<dyn Fn(&Listed) -> mpsc::Sender<TargetMessage>>;
+
+/// What comes to the core.
+#[derive(Debug)]
+pub enum Message {
+    Submit {
+        id: RequestId,
+        order: Order,
+        answer: oneshot::Sender<Answer>,
+    },
+    /// The client has gone.
+    Gone(RequestId),
+    Ended {
+        id: RequestId,
+        number: Number,
+        reply: Reply,
+    },
+    Probed {
+        node: NodeId,
+        outcome: Outcome,
+        took: Micros,
+        load: Load,
+    },
+    List {
+        wire: Wire,
+        kind: crate::interface::ListKind,
+        entries: Vec<Listed>,
+    },
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,12 @@
+//! The core: the actor that alone owns the module, and the messages it exchanges with fronts, targets and
+//! the list. Nothing here knows a wire.
+
+mod actor;
+mod clock;
+mod mailbox;
+mod message;
+
+pub use actor::Core;
+pub use clock::{Clock, micros};
+pub use mailbox::{Handle, Pending, ProbeReport, Report};
+pub use message::*;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! Decides for a gateway which orders and paces the I/O of many volumes onto storage nodes.
+//! An I/O initiator: a module that decides, an actor that owns it, and the fronts that speak to the network.
 //!
 //! A gateway loads the module, hands it its settings and a seed, and then every event with the
 //! time it happened. The module answers with actions and does no I/O of its own. Instances share
@@ -71,5 +71,11 @@
 //! ```
 #![forbid(unsafe_code)]
 
+pub mod config;
+pub mod core;
 pub mod interface;
+pub mod names;
+pub mod net;
+pub mod node;
 pub mod rules;
+pub mod settings;
--- a/src/bin/rowanglade-benchlink/names.rs
+++ b/src/names.rs
@@ -1,6 +1,6 @@
 //! The wire's names and the module's ids, for one instance.
 
-use rowanglade::interface::*;
+use crate::interface::*;
 use std::collections::{HashMap, VecDeque};
 
 /// Names are forgotten, oldest first, beyond this many.
--- /dev/null
+++ b/src/net/http/discovery.rs
@@ -0,0 +1,147 @@
+//! The actor of the list: it asks discovery when the core says so, and goes on watching.
+
+use crate::core::{Handle, ListMessage, Listed, Message, Wire};
+use crate::interface::{ListKind, NodeState};
+use awc::{Client, Connector};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// How long a watch waits for news. Longer ones cost discovery less, and tell later that it has fallen silent.
+const HOLD: Duration = Duration::from_secs(10);
+/// An answer later than this past its wait is a failed call: what it would tell counts as told by then.
+const PATIENCE: Duration = Duration::from_millis(1_800);
+/// Far above the list of any fleet.
+const LARGEST_LIST: usize = 4 << 20;
+
+/// A list as discovery and the configuration word it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Page {
+    version: u64,
+    full: bool,
+    servers: Vec<Line>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Line {
+    id: String,
+    addr: SocketAddr,
+    #[serde(default)]
+    zone: String,
+    cell: u32,
+    state: State,
+    #[serde(default)]
+    started_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum State {
+    Active,
+    Leaving,
+    Left,
+}
+
+impl From<Line> for Listed {
+    fn from(line: Line) -> Listed {
+        Listed {
+            name: line.id,
+            wire: Wire::Http,
+            addr: line.addr,
+            zone: line.zone,
+            shard: line.cell,
+            state: match line.state {
+                State::Active => NodeState::In,
+                State::Leaving => NodeState::Draining,
+                State::Left => NodeState::Gone,
+            },
+            started: (line.started_ms > 0).then(|| line.started_ms.saturating_mul(1_000)),
+        }
+    }
+}
+
+/// The list as this initiator last held it: perhaps stale.
+pub fn remembered(page: Page) -> Message {
+    let entries = page.servers.into_iter().map(Listed::from).collect();
+    Message::List { wire: Wire::Http, kind: ListKind::Remembered, entries }
+}
+
+impl Page {
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+}
+
+/// The actor's state.
+pub struct Directory {
+    client: Client,
+    addr: SocketAddr,
+    core: Handle,
+    /// The newest version held; absent: none, so the whole list is asked for.
+    version: Option<u64>,
+}
+
+impl Directory {
+    pub fn new(addr: SocketAddr, connect_timeout: Duration, core: Handle, version: Option<u64>) -> Directory {
+        let connector = Connector::new().timeout(connect_timeout.max(Duration::from_millis(500))).limit(0);
+        let client = Client::builder().connector(connector).disable_timeout().disable_redirects().finish();
+        Directory { client, addr, core, version }
+    }
+
+    /// Runs until the core lets go of the mailbox.
+    pub async fn run(mut self, mut asked: mpsc::Receiver<ListMessage>) {
+        while let Some(message) = asked.recv().await {
+            match message {
+                ListMessage::Fetch => {
+                    self.version = None;
+                    self.call(Duration::ZERO).await;
+                }
+                ListMessage::Watch => {
+                    // The first call only sets the watch up and brings what was missed; it does not wait, so
+                    // that the core soon knows that it is told again.
+                    let mut hold = Duration::from_millis(1);
+                    while self.call(hold).await {
+                        hold = HOLD;
+                    }
+                }
+            }
+        }
+    }
+
+    /// One call, and its news to the core. False: it failed.
+    async fn call(&mut self, hold: Duration) -> bool {
+        let news = tokio::time::timeout(hold + PATIENCE, self.get(hold)).await;
+        let (ok, kind, entries) = match news {
+            Ok(Ok(page)) => {
+                self.version = Some(page.version);
+                let kind = if page.full { ListKind::Full } else { ListKind::Changes };
+                (true, kind, page.servers.into_iter().map(Listed::from).collect())
+            }
+            failed => {
+                let error = match failed {
+                    Ok(Err(error)) => error,
+                    _ => "no answer in time".to_string(),
+                };
+                tracing::info!(%error, "discovery call failed");
+                (false, ListKind::Failed, Vec::new())
+            }
+        };
+        self.core.tell(Message::List { wire: Wire::Http, kind, entries }).await;
+        ok
+    }
+
+    async fn get(&self, hold: Duration) -> Result<Page, String> {
+        let path = match self.version {
+            Some(version) => format!("/discovery/hosts?from={version}&hold_ms={}", hold.as_millis()),
+            None => "/discovery/hosts".to_string(),
+        };
+        let request = self.client.get(format!("http://{}{path}", self.addr)).no_decompress();
+        let mut response = request.send().await.map_err(|e| e.to_string())?;
+        if response.status() != actix_http::StatusCode::OK {
+            return Err(response.status().to_string());
+        }
+        let body = response.body().limit(LARGEST_LIST).await.map_err(|e| e.to_string())?;
+        serde_json::from_slice(&body).map_err(|e| e.to_string())
+    }
+}
--- /dev/null
+++ b/src/net/http/message.rs
@@ -0,0 +1,151 @@
+//! The platform's messages: each is decoded once into a value of the core's and encoded once.
+
+use crate::core::{Answer, Order, Reply};
+use crate::interface::{Load, Outcome};
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
+use actix_http::{Method, Response, StatusCode, Uri};
+use bytes::Bytes;
+use std::str::FromStr;
+use std::time::Duration;
+
+/// The most that a body holds.
+pub const LARGEST_BODY: usize = 64 * 1024;
+
+pub const ID: HeaderName = HeaderName::from_static("x-correlation-id");
+pub const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left-ms");
+pub const REPEAT_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+const PLAN: HeaderName = HeaderName::from_static("x-qos-policy");
+const PLACEMENT: HeaderName = HeaderName::from_static("x-placement");
+const NOT_RUN: HeaderName = HeaderName::from_static("x-unprocessed");
+const USED: HeaderName = HeaderName::from_static("x-iops-used");
+const ELSEWHERE: HeaderName = HeaderName::from_static("x-rho");
+const LOAD: HeaderName = HeaderName::from_static("x-backend-load");
+
+/// What is wrong with a request, by its part.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Malformed(pub &'static str);
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim)
+}
+
+fn number<T: FromStr>(headers: &HeaderMap, name: &HeaderName) -> Option<T> {
+    text(headers, name).and_then(|t| t.parse().ok())
+}
+
+/// A client's request, without its body.
+pub fn decode(method: &Method, uri: &Uri, headers: &HeaderMap) -> Result<Order, Malformed> {
+    let write = match *method {
+        Method::GET => false,
+        Method::PUT => true,
+        _ => return Err(Malformed("method")),
+    };
+    let mut parts = uri.path().split('/').skip(1);
+    let (class, volume, piece) = match (parts.next(), parts.next(), parts.next(), parts.next()) {
+        (Some(class), Some(volume), Some(piece), None) if !class.is_empty() => (class, volume, piece),
+        _ => return Err(Malformed("path")),
+    };
+    let hex = |part: &str, name| {
+        let digits = part.len() == 16 && part.bytes().all(|b| b.is_ascii_hexdigit());
+        digits.then(|| u64::from_str_radix(part, 16).ok()).flatten().ok_or(Malformed(name))
+    };
+    let (units, shard, hosts) = placement(text(headers, &PLACEMENT).ok_or(Malformed("x-placement"))?)?;
+    let id = text(headers, &ID).filter(|id| !id.is_empty()).ok_or(Malformed("x-correlation-id"))?;
+    let time_left = number(headers, &TIME_LEFT).ok_or(Malformed("x-time-left-ms"))?;
+    Ok(Order {
+        id: id.to_string(),
+        class: class.to_string(),
+        plan: text(headers, &PLAN).map(str::to_string),
+        write,
+        volume: hex(volume, "volume")?,
+        piece: hex(piece, "piece")?,
+        locator: uri.path_and_query().map_or(uri.path(), |p| p.as_str()).to_string(),
+        repeat_key: text(headers, &REPEAT_KEY).map(str::to_string),
+        units,
+        shard,
+        hosts,
+        body: Bytes::new(),
+        time_left: Duration::from_millis(time_left),
+    })
+}
+
+/// `units=2,shard=5,hosts=3`. A part of another name is passed over.
+fn placement(text: &str) -> Result<(f64, Option<u32>, u32), Malformed> {
+    let (mut units, mut shard, mut hosts) = (None, None, 0);
+    for (name, value) in text.split(',').filter_map(|part| part.split_once('=')) {
+        let value = value.trim();
+        match name.trim() {
+            "units" => units = value.parse().ok().filter(|u: &f64| u.is_finite() && *u > 0.0),
+            "shard" => shard = value.parse::<i64>().ok(),
+            "hosts" => hosts = value.parse().map_err(|_| Malformed("x-placement"))?,
+            _ => {}
+        }
+    }
+    match (units, shard) {
+        (Some(units), Some(-1)) => Ok((units, None, hosts)),
+        (Some(units), Some(shard)) => {
+            Ok((units, Some(u32::try_from(shard).map_err(|_| Malformed("x-placement"))?), hosts))
+        }
+        _ => Err(Malformed("x-placement")),
+    }
+}
+
+/// The final answer to a client.
+pub fn encode(answer: Answer) -> Response<Bytes> {
+    match answer {
+        Answer::Served(body) => Response::build(StatusCode::OK).message_body(body).expect("no headers"),
+        Answer::Refused { wait } => {
+            let mut response = status(StatusCode::SERVICE_UNAVAILABLE);
+            if !wait.is_zero() {
+                let seconds = format!("{:.3}", wait.as_secs_f64());
+                if let Ok(value) = HeaderValue::from_str(&seconds) {
+                    response.headers_mut().insert(RETRY_AFTER, value);
+                }
+            }
+            response
+        }
+        Answer::Failed => status(StatusCode::INTERNAL_SERVER_ERROR),
+    }
+}
+
+/// An answer without a body.
+pub fn status(code: StatusCode) -> Response<Bytes> {
+    Response::with_body(code, Bytes::new())
+}
+
+/// What a target's answer says of the outcome, and tells beside it.
+pub fn reply(code: StatusCode, headers: &HeaderMap, body: Bytes) -> Reply {
+    let unseen = matches!(code, StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT)
+        && text(headers, &NOT_RUN) == Some("1");
+    let outcome = match code {
+        StatusCode::OK => Outcome::Served,
+        _ if unseen => Outcome::Full,
+        _ => Outcome::Error,
+    };
+    Reply {
+        outcome,
+        body: if outcome == Outcome::Served { body } else { Bytes::new() },
+        used: number::<f64>(headers, &USED).filter(|u| u.is_finite() && *u >= 0.0).map(|u| u / 100.0),
+        elsewhere: number::<f64>(headers, &ELSEWHERE).filter(|u| u.is_finite() && *u >= 0.0).unwrap_or(0.0),
+        load: text(headers, &LOAD).map(load).unwrap_or_default(),
+    }
+}
+
+/// `TEXT inflight=7, queue=2, util=0.61`
+pub fn load(text: &str) -> Load {
+    let mut load = Load::default();
+    let pairs = text.trim().trim_start_matches("TEXT").split(',').filter_map(|p| p.split_once('='));
+    for (name, value) in pairs {
+        let Some(value) = value.trim().parse::<f64>().ok().filter(|v| v.is_finite() && *v >= 0.0) else {
+            continue;
+        };
+        match name.trim() {
+            "inflight" => load.in_hand = Some(value),
+            "queue" => load.waiting = Some(value),
+            "latency_ms" => load.service = Some((value * 1e3) as u64),
+            "util" => load.busy = Some(value),
+            _ => {}
+        }
+    }
+    load
+}
--- /dev/null
+++ b/src/net/http/mod.rs
@@ -0,0 +1,10 @@
+//! The platform's protocol: HTTP/1.1 over TCP.
+
+mod discovery;
+mod message;
+mod server;
+mod target;
+
+pub use discovery::{Directory, Page, remembered};
+pub use server::{Front, serve};
+pub use target::{Pool, connect};
--- /dev/null
+++ b/src/net/iscsi/mod.rs
@@ -0,0 +1,1 @@
+//! An iSCSI-style front over TCP.
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,4 @@
+//! The fronts, the targets and the list on their wires.
+
+pub mod http;
+pub mod iscsi;
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -1,5 +1,4 @@
 //! The adapter on hand-written wire lines.
-#![cfg(feature = "benchlink")]
 
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
