--- a/src/config.rs
+++ b/src/config.rs
@@ -2,11 +2,14 @@
 //! the platform hands over.
 
 use crate::net::http::Page;
+use crate::net::iscsi::Lun;
 use crate::settings::Settings;
 use serde::Deserialize;
+use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::time::Duration;
 
 /// All that the program is told.
 #[derive(Debug)]
@@ -17,6 +20,32 @@
     pub seed: u64,
     pub known: Option<Page>,
     pub settings: Settings,
+    /// The second front; absent where no operator set it up.
+    pub iscsi: Option<Iscsi>,
+}
+
+/// The iSCSI-style front, as an operator's file sets it up.
+#[derive(Debug, PartialEq)]
+pub struct Iscsi {
+    pub listen: SocketAddr,
+    /// The name of the target that sessions log in to, and of the initiator in sessions that go out.
+    pub name: String,
+    pub blocks_per_unit: u32,
+    pub login_timeout: Duration,
+    pub silence: Duration,
+    pub luns: HashMap<u64, Lun>,
+    pub targets: Vec<Portal>,
+}
+
+/// A target that speaks the iSCSI-style protocol.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Portal {
+    pub name: String,
+    pub addr: SocketAddr,
+    #[serde(default)]
+    pub zone: String,
+    pub shard: u32,
 }
 
 /// A key that cannot be used, and why.
@@ -52,8 +81,11 @@
 }
 
 impl Config {
-    /// Reads what the variables and the file they name tell.
-    pub fn load(env: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+    /// Reads what the variables and the file they name tell, and the operator's file, if there is one.
+    pub fn load(
+        env: impl Fn(&str) -> Option<String>,
+        operator: Option<&Path>,
+    ) -> Result<Config, ConfigError> {
         let path = env("LB_CONFIG").ok_or_else(|| ConfigError::new("LB_CONFIG", "is not set"))?;
         let file = File::read(Path::new(&path))?;
         // The variables win: they are what the process itself was started with.
@@ -65,6 +97,7 @@
         };
         let listen = pick("LB_LISTEN", "listen", file.listen)
             .ok_or_else(|| ConfigError::new("LB_LISTEN", "is not set, and the file has no `listen`"))?;
+        let iscsi = operator.map(|path| Operator::read(path, &file.settings)).transpose()?.flatten();
         let seed = file.seed.as_deref().unwrap_or("0");
         Ok(Config {
             name: pick("LB_NAME", "name", file.name).map_or("rowanglade".to_string(), |(_, name)| name),
@@ -74,13 +107,126 @@
                 .map_err(|e| ConfigError::new("seed", format!("{seed:?}: {e}")))?,
             known: file.known,
             settings: file.settings,
+            iscsi,
         })
     }
 }
 
+impl fmt::Display for Config {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let classes: Vec<&str> = self.settings.classes().map(|(name, _)| name).collect();
+        let plans: Vec<&str> = self.settings.plans().collect();
+        let discovery = self.discovery.map_or("none".to_string(), |a| a.to_string());
+        writeln!(f, "name {}  listen {}  discovery {discovery}", self.name, self.listen)?;
+        write!(f, "classes {}  plans {}", classes.join(" "), plans.join(" "))?;
+        match &self.iscsi {
+            None => write!(f, "\niSCSI-style front: off"),
+            Some(i) => {
+                let (luns, targets) = (i.luns.len(), i.targets.len());
+                write!(f, "\niSCSI-style front: {} on {}, {luns} LUNs, {targets} targets", i.name, i.listen)
+            }
+        }
+    }
+}
+
 impl File {
     fn read(path: &Path) -> Result<File, ConfigError> {
         let text = std::fs::read_to_string(path).map_err(|e| ConfigError::new("LB_CONFIG", e))?;
         serde_json::from_str(&text).map_err(|e| ConfigError::new("LB_CONFIG", e))
     }
 }
+
+/// The operator's file.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Operator {
+    iscsi: Option<IscsiTable>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct IscsiTable {
+    listen: SocketAddr,
+    name: String,
+    #[serde(default = "default_blocks_per_unit")]
+    blocks_per_unit: u32,
+    #[serde(default = "default_login_timeout_ms")]
+    login_timeout_ms: u64,
+    #[serde(default = "default_silence_ms")]
+    silence_ms: u64,
+    #[serde(default)]
+    volume: Vec<VolumeTable>,
+    #[serde(default)]
+    target: Vec<Portal>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct VolumeTable {
+    lun: String,
+    plan: Option<String>,
+    /// Absent: its writes are new objects, which any target can take.
+    shard: Option<u32>,
+    #[serde(default)]
+    hosts: u32,
+}
+
+fn default_blocks_per_unit() -> u32 {
+    8
+}
+
+fn default_login_timeout_ms() -> u64 {
+    500
+}
+
+fn default_silence_ms() -> u64 {
+    400
+}
+
+impl Operator {
+    fn read(path: &Path, settings: &Settings) -> Result<Option<Iscsi>, ConfigError> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|e| ConfigError::new(&file, e))?;
+        // The parser's message shows the line and names the key.
+        let operator: Operator = toml::from_str(&text).map_err(|e| ConfigError::new(&file, e))?;
+        operator.iscsi.map(|table| table.check(settings)).transpose()
+    }
+}
+
+impl IscsiTable {
+    fn check(self, settings: &Settings) -> Result<Iscsi, ConfigError> {
+        let positive = |key: &str, value: u64| match value {
+            0 => Err(ConfigError::new(format!("iscsi.{key}"), "is zero")),
+            _ => Ok(value),
+        };
+        positive("blocks_per_unit", u64::from(self.blocks_per_unit))?;
+        let mut luns = HashMap::new();
+        for (i, volume) in self.volume.into_iter().enumerate() {
+            let key = |name: &str| format!("iscsi.volume[{i}].{name}");
+            let lun = u64::from_str_radix(&volume.lun, 16)
+                .map_err(|e| ConfigError::new(key("lun"), format!("{:?}: {e}", volume.lun)))?;
+            if let Some(plan) = volume.plan.as_deref().filter(|plan| !settings.plans().any(|p| p == *plan)) {
+                return Err(ConfigError::new(key("plan"), format!("the settings have no plan {plan:?}")));
+            }
+            let made = Lun { plan: volume.plan, shard: volume.shard, hosts: volume.hosts };
+            if luns.insert(lun, made).is_some() {
+                return Err(ConfigError::new(key("lun"), format!("{:?} is there twice", volume.lun)));
+            }
+        }
+        for (i, target) in self.target.iter().enumerate() {
+            if self.target[..i].iter().any(|t| t.name == target.name) {
+                let key = format!("iscsi.target[{i}].name");
+                return Err(ConfigError::new(key, format!("{:?} is there twice", target.name)));
+            }
+        }
+        Ok(Iscsi {
+            listen: self.listen,
+            name: self.name,
+            blocks_per_unit: self.blocks_per_unit,
+            login_timeout: Duration::from_millis(positive("login_timeout_ms", self.login_timeout_ms)?),
+            silence: Duration::from_millis(positive("silence_ms", self.silence_ms)?),
+            luns,
+            targets: self.target,
+        })
+    }
+}
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -1,7 +1,7 @@
 //! The module's actor: it alone owns the [`Gateway`], its timers and the requests that are open.
 
 use crate::core::clock::{Clock, micros};
-use crate::core::mailbox::{Handle, ProbeReport, Report};
+use crate::core::mailbox::{Inbox, ProbeReport, Report};
 use crate::core::message::{
     Answer, Attempt, Connect, ListMessage, Listed, Message, Order, Probe, Reply, TargetMessage, Wire,
 };
@@ -18,8 +18,6 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
 
-/// Places in the core's mailbox: two for each descriptor's request and four for its attempts' ends.
-const MAILBOX: usize = 8_192;
 /// A request that the module has not answered this long past its deadline fails here: later than the module's
 /// own last word, and well inside the slack that the rules give.
 const BACKSTOP: Micros = 10_000;
@@ -73,18 +71,17 @@
         gateway: Gateway,
         names: Names,
         clock: Clock,
+        inbox: Inbox,
         list: mpsc::Sender<ListMessage>,
         connect: Connect,
-    ) -> (Core, Handle) {
-        let (tx, rx) = mpsc::channel(MAILBOX);
-        let (ready, readiness) = watch::channel(false);
-        let open = Rc::new(Cell::new(0));
-        let core = Core {
+    ) -> Core {
+        let Inbox { rx, tx, ready, open } = inbox;
+        Core {
             gateway,
             names,
             clock,
             rx,
-            tx: tx.downgrade(),
+            tx,
             list,
             connect,
             targets: BTreeMap::new(),
@@ -93,9 +90,8 @@
             timers: BinaryHeap::new(),
             next: VecDeque::new(),
             ready,
-            open: Rc::clone(&open),
-        };
-        (core, Handle { tx, next: Rc::new(Cell::new(1)), ready: readiness, open })
+            open,
+        }
     }
 
     /// Runs until every [`Handle`] is gone.
--- a/src/core/mailbox.rs
+++ b/src/core/mailbox.rs
@@ -8,6 +8,28 @@
 use tokio::sync::mpsc::{self, OwnedPermit};
 use tokio::sync::{oneshot, watch};
 
+/// Places in the core's mailbox: two for each descriptor's request and four for its attempts' ends.
+const MAILBOX: usize = 8_192;
+
+/// The core's end of its mailbox.
+#[derive(Debug)]
+pub struct Inbox {
+    pub(super) rx: mpsc::Receiver<Message>,
+    /// Weak, so that the core ends when all others have let go of its mailbox.
+    pub(super) tx: mpsc::WeakSender<Message>,
+    pub(super) ready: watch::Sender<bool>,
+    pub(super) open: Rc<Cell<usize>>,
+}
+
+/// Makes the core's mailbox.
+pub fn mailbox() -> (Inbox, Handle) {
+    let (tx, rx) = mpsc::channel(MAILBOX);
+    let (ready, readiness) = watch::channel(false);
+    let open = Rc::new(Cell::new(0));
+    let inbox = Inbox { rx, tx: tx.downgrade(), ready, open: Rc::clone(&open) };
+    (inbox, Handle { tx, next: Rc::new(Cell::new(1)), ready: readiness, open })
+}
+
 /// The core's mailbox, as fronts and the list hold it.
 #[derive(Clone, Debug)]
 pub struct Handle {
--- a/src/core/message.rs
+++ b/src/core/message.rs
@@ -29,6 +29,8 @@
     pub shard: Option<u32>,
     /// Through how many initiators the volume's requests come. 0: not told.
     pub hosts: u32,
+    /// The bytes that a read asks for. 0: not told.
+    pub length: u32,
     pub body: Bytes,
     /// How long the client waits, from now.
     pub time_left: Duration,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -71,9 +71,11 @@
 //! ```
 #![forbid(unsafe_code)]
 
+pub mod cli;
 pub mod config;
 pub mod core;
 pub mod interface;
+pub mod load;
 pub mod names;
 pub mod net;
 pub mod node;
--- a/src/net/http/discovery.rs
+++ b/src/net/http/discovery.rs
@@ -2,7 +2,8 @@
 
 use crate::core::{Handle, ListMessage, Listed, Message, Wire};
 use crate::interface::{ListKind, NodeState};
-use awc::{Client, Connector};
+use crate::net::http::dial;
+use awc::Client;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -12,6 +13,9 @@
 const HOLD: Duration = Duration::from_secs(10);
 /// An answer later than this past its wait is a failed call: what it would tell counts as told by then.
 const PATIENCE: Duration = Duration::from_millis(1_800);
+/// A connection may take this long to come up at least, and stand idle this long.
+const CONNECT: Duration = Duration::from_millis(500);
+const IDLE: Duration = Duration::from_secs(5);
 /// Far above the list of any fleet.
 const LARGEST_LIST: usize = 4 << 20;
 
@@ -84,8 +88,7 @@
 
 impl Directory {
     pub fn new(addr: SocketAddr, connect_timeout: Duration, core: Handle, version: Option<u64>) -> Directory {
-        let connector = Connector::new().timeout(connect_timeout.max(Duration::from_millis(500))).limit(0);
-        let client = Client::builder().connector(connector).disable_timeout().disable_redirects().finish();
+        let client = dial::client(addr, connect_timeout.max(CONNECT), IDLE);
         Directory { client, addr, core, version }
     }
 
--- a/src/net/http/message.rs
+++ b/src/net/http/message.rs
@@ -64,6 +64,7 @@
         units,
         shard,
         hosts,
+        length: 0,
         body: Bytes::new(),
         time_left: Duration::from_millis(time_left),
     })
--- a/src/net/http/mod.rs
+++ b/src/net/http/mod.rs
@@ -1,5 +1,6 @@
 //! The platform's protocol: HTTP/1.1 over TCP.
 
+mod dial;
 mod discovery;
 mod message;
 mod server;
--- a/src/net/http/target.rs
+++ b/src/net/http/target.rs
@@ -2,10 +2,11 @@
 
 use crate::core::{Attempt, Listed, Order, Probe, Reply, TargetMessage};
 use crate::interface::Outcome;
+use crate::net::http::dial;
 use crate::net::http::message::{self, ID, LARGEST_BODY, REPEAT_KEY, TIME_LEFT};
 use actix_http::Method;
+use awc::Client;
 use awc::error::{ConnectError, SendRequestError};
-use awc::{Client, Connector};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -26,11 +27,7 @@
 pub fn connect(line: &Listed, pool: Pool) -> mpsc::Sender<TargetMessage> {
     let (tx, mut rx) = mpsc::channel(MAILBOX);
     let addr = line.addr;
-    // Nothing may act behind the core: no redirect, no time-out, no decompression, no limit that queues.
-    let connector = Connector::new().timeout(pool.connect_timeout).conn_keep_alive(pool.idle).limit(0);
-    let client =
-        Client::builder().connector(connector).disable_timeout().disable_redirects().no_default_headers();
-    let client = client.finish();
+    let client = dial::client(addr, pool.connect_timeout, pool.idle);
     actix_rt::spawn(async move {
         while let Some(message) = rx.recv().await {
             match message {
--- /dev/null
+++ b/src/net/iscsi/session.rs
@@ -0,0 +1,450 @@
+//! Sessions that go out: the actor of an iSCSI-style target. This side is the initiator.
+
+use crate::core::{Attempt, Handle, Listed, Message, Probe, Reply, Report, TargetMessage, Wire, micros};
+use crate::interface::{ListKind, Load, NodeState, Outcome};
+use crate::net::iscsi::frame::{Frames, LARGEST_SEGMENT};
+use crate::net::iscsi::login::{self, Session as Settled};
+use crate::net::iscsi::pdu::{NO_TAG, Pdu, Residual};
+use crate::net::iscsi::scsi::{self, Command};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use futures_util::future::LocalBoxFuture;
+use futures_util::stream::FuturesUnordered;
+use std::collections::{HashMap, VecDeque};
+use std::io;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+const MAILBOX: usize = 256;
+const ABORT_TASK: u8 = 1;
+/// Task management requests use the upper half of the tags, commands the lower.
+const ABORTS: u32 = 0x8000_0000;
+/// Asynchronous events: the target asks for a logout, will drop this connection, or all of the session's.
+const LEAVING: std::ops::RangeInclusive<u8> = 1..=3;
+/// How long after a drain was told the target is tried again, in case it is back.
+const TRY_AGAIN: Duration = Duration::from_millis(1_000);
+
+/// What all sessions that go out share.
+#[derive(Clone, Debug)]
+pub struct Figures {
+    /// This initiator's name.
+    pub initiator: String,
+    pub classes: Vec<String>,
+    pub connect_timeout: Duration,
+    pub login_timeout: Duration,
+    /// A session that owes answers and says nothing for this long is asked with a NOP, and given up after as
+    /// long again.
+    pub silence: Duration,
+    pub blocks_per_unit: u32,
+}
+
+/// Starts the actor, which lives as long as its mailbox is held.
+pub fn connect(line: &Listed, figures: Figures, core: Handle) -> mpsc::Sender<TargetMessage> {
+    let (tx, rx) = mpsc::channel(MAILBOX);
+    actix_rt::spawn(Target { line: line.clone(), figures, core, rx }.run());
+    tx
+}
+
+struct Target {
+    line: Listed,
+    figures: Figures,
+    core: Handle,
+    rx: mpsc::Receiver<TargetMessage>,
+}
+
+impl Target {
+    async fn run(mut self) {
+        let mut waiting = VecDeque::new();
+        loop {
+            let drained = self.line.state != NodeState::In;
+            if waiting.is_empty() {
+                tokio::select! {
+                    message = self.rx.recv() => match message {
+                        Some(message) => waiting.push_back(message),
+                        None => return,
+                    },
+                    () = tokio::time::sleep(TRY_AGAIN), if drained => {}
+                }
+            }
+            match self.open().await {
+                Ok(session) => {
+                    if drained {
+                        self.tell(NodeState::In).await;
+                    }
+                    match session.run(&mut self, waiting).await {
+                        End::Mailbox => return,
+                        End::Left => {}
+                        End::Broken(error) => {
+                            tracing::info!(target = self.line.name, %error, "session broken")
+                        }
+                    }
+                }
+                Err(error) => {
+                    tracing::debug!(target = self.line.name, %error, "no session");
+                    // None of it was sent.
+                    while let Ok(message) = self.rx.try_recv() {
+                        waiting.push_back(message);
+                    }
+                    for message in waiting {
+                        tell_unsent(message, Outcome::Unreachable);
+                    }
+                }
+            }
+            waiting = VecDeque::new();
+        }
+    }
+
+    async fn open(&self) -> io::Result<Session> {
+        let connecting = TcpStream::connect(self.line.addr);
+        let stream = tokio::time::timeout(self.figures.connect_timeout, connecting).await??;
+        stream.set_nodelay(true)?;
+        let (from, mut out) = stream.into_split();
+        let mut frames = Frames::new(from);
+        let login = login::log_in(&mut frames, &mut out, &self.figures.initiator, &self.line.name);
+        let (settled, seq) = tokio::time::timeout(self.figures.login_timeout, login).await??;
+        Ok(Session {
+            figures: self.figures.clone(),
+            frames,
+            out,
+            cmd_sn: settled.cmd_sn,
+            max_cmd_sn: seq.max_cmd_sn,
+            exp_stat_sn: settled.stat_sn,
+            settled,
+            next_itt: 1,
+            tasks: HashMap::new(),
+            ends: FuturesUnordered::new(),
+            heard: Instant::now(),
+            pinged: false,
+            leaving: false,
+        })
+    }
+
+    /// The core's list learns what the session told. A target that is back counts as just started.
+    async fn tell(&mut self, state: NodeState) {
+        self.line.state = state;
+        if state == NodeState::In {
+            self.line.started = SystemTime::now().duration_since(UNIX_EPOCH).ok().map(micros);
+        }
+        let entries = vec![self.line.clone()];
+        self.core.tell(Message::List { wire: Wire::Iscsi, kind: ListKind::Changes, entries }).await;
+    }
+}
+
+fn tell_unsent(message: TargetMessage, outcome: Outcome) {
+    match message {
+        TargetMessage::Attempt(attempt) => attempt.report.tell(Reply::bare(outcome)),
+        TargetMessage::Probe(probe) => probe.report.tell(outcome, Load::default()),
+    }
+}
+
+/// Why a session ended.
+enum End {
+    /// The core let go of the target.
+    Mailbox,
+    /// The target asked for it.
+    Left,
+    Broken(io::Error),
+}
+
+/// A command without its status.
+struct Task {
+    /// Absent: its end was told, and the target's last word on it is only waited for.
+    report: Option<Report>,
+    lun: u64,
+    write: Bytes,
+    /// The last byte of the command and its data is written.
+    written: bool,
+    expected: u32,
+    read: BytesMut,
+}
+
+struct Session {
+    figures: Figures,
+    frames: Frames<OwnedReadHalf>,
+    out: OwnedWriteHalf,
+    settled: Settled,
+    cmd_sn: u32,
+    max_cmd_sn: u32,
+    exp_stat_sn: u32,
+    next_itt: u32,
+    tasks: HashMap<u32, Task>,
+    /// Resolve when an attempt is cancelled or out of time.
+    ends: FuturesUnordered<LocalBoxFuture<'static, (u32, Outcome)>>,
+    heard: Instant,
+    pinged: bool,
+    leaving: bool,
+}
+
+impl Session {
+    async fn run(mut self, target: &mut Target, waiting: VecDeque<TargetMessage>) -> End {
+        let end = match self.serve(target, waiting).await {
+            Ok(end) => end,
+            Err(error) => End::Broken(error),
+        };
+        // What was written whole may have run; the rest never did.
+        for task in self.tasks.into_values() {
+            if let Some(report) = task.report {
+                report.tell(Reply::bare(if task.written { Outcome::Broken } else { Outcome::Unreachable }));
+            }
+        }
+        if self.leaving { End::Left } else { end }
+    }
+
+    async fn serve(&mut self, target: &mut Target, waiting: VecDeque<TargetMessage>) -> io::Result<End> {
+        for message in waiting {
+            self.take(message).await?;
+        }
+        loop {
+            if self.leaving && self.tasks.is_empty() {
+                self.log_out().await?;
+                return Ok(End::Left);
+            }
+            let quiet = self.heard + self.figures.silence * (1 + u32::from(self.pinged));
+            let owed = !self.tasks.is_empty();
+            tokio::select! {
+                pdu = self.frames.next() => match pdu {
+                    Ok(pdu) => {
+                        (self.heard, self.pinged) = (Instant::now(), false);
+                        if matches!(pdu, Pdu::Async { event, .. } if LEAVING.contains(&event)) {
+                            // The list is told at once, so that nothing new comes; what is out may still be
+                            // answered.
+                            self.leaving = true;
+                            target.tell(NodeState::Draining).await;
+                        }
+                        self.hear(pdu).await?;
+                    }
+                    Err(e) => return Err(broken(format!("{e:?}"))),
+                },
+                message = target.rx.recv() => match message {
+                    Some(message) => self.take(message).await?,
+                    None => {
+                        self.log_out().await?;
+                        return Ok(End::Mailbox);
+                    }
+                },
+                Some((itt, outcome)) = self.ends.next() => self.give_up(itt, outcome).await?,
+                () = tokio::time::sleep_until(quiet), if owed => {
+                    // Guards against a target that takes a login, and commands, and never answers.
+                    if self.pinged {
+                        return Err(broken("it owes answers and says nothing"));
+                    }
+                    self.pinged = true;
+                    let itt = self.tag();
+                    let (cmd_sn, exp_stat_sn) = (self.cmd_sn, self.exp_stat_sn);
+                    let data = Bytes::new();
+                    let ping = Pdu::NopOut { immediate: true, lun: 0, itt, ttt: NO_TAG, cmd_sn, exp_stat_sn, data };
+                    self.send(&ping).await?;
+                }
+            }
+        }
+    }
+
+    fn tag(&mut self) -> u32 {
+        loop {
+            let itt = self.next_itt;
+            self.next_itt = (itt + 1) & !ABORTS;
+            if !self.tasks.contains_key(&itt) {
+                return itt;
+            }
+        }
+    }
+
+    /// Closes the session; the target's response is not waited for.
+    async fn log_out(&mut self) -> io::Result<()> {
+        let (itt, cmd_sn, exp_stat_sn) = (self.tag(), self.cmd_sn, self.exp_stat_sn);
+        self.send(&Pdu::LogoutRequest { immediate: true, reason: 0, itt, cid: 0, cmd_sn, exp_stat_sn }).await
+    }
+
+    async fn send(&mut self, pdu: &Pdu) -> io::Result<()> {
+        tokio::time::timeout(self.figures.silence, self.out.write_all(&pdu.encode())).await?
+    }
+
+    async fn take(&mut self, message: TargetMessage) -> io::Result<()> {
+        match message {
+            TargetMessage::Probe(Probe { report, .. }) => {
+                // The session stands: that is all that a shallow probe asks.
+                report.tell(Outcome::Served, Load::default());
+                Ok(())
+            }
+            TargetMessage::Attempt(attempt) => self.command(attempt).await,
+        }
+    }
+
+    async fn command(&mut self, attempt: Attempt) -> io::Result<()> {
+        let Attempt { order, until, cancel, report } = attempt;
+        let group = self.figures.classes.iter().position(|c| *c == order.class);
+        let in_window = self.max_cmd_sn.wrapping_sub(self.cmd_sn) as i32 >= 0;
+        let (Some(group), true, false) = (group, in_window && until > Instant::now(), self.leaving) else {
+            report.tell(Reply::bare(if self.leaving || !in_window {
+                Outcome::Full
+            } else {
+                Outcome::NotSent
+            }));
+            return Ok(());
+        };
+        // A request of a wire that tells no length asks for its units' blocks.
+        let told = if order.write { order.body.len() as u32 } else { order.length };
+        let blocks = match told {
+            0 => order.units.ceil() as u32 * self.figures.blocks_per_unit,
+            bytes => bytes.div_ceil(scsi::BLOCK),
+        };
+        let blocks = blocks.clamp(1, LARGEST_SEGMENT as u32 / scsi::BLOCK);
+        let length = if order.write { order.body.len() as u32 } else { blocks * scsi::BLOCK };
+        let command = Command { write: order.write, address: order.piece, blocks, group: group as u8 };
+        let most = self.settled.segment.min(self.settled.first_burst);
+        let immediate = if self.settled.immediate_data { order.body.len().min(most) } else { 0 };
+        let itt = self.tag();
+        let pdu = Pdu::ScsiCommand {
+            immediate: false,
+            last: true,
+            read: !order.write,
+            write: order.write,
+            lun: order.volume,
+            itt,
+            length,
+            cmd_sn: self.cmd_sn,
+            exp_stat_sn: self.exp_stat_sn,
+            cdb: command.encode(),
+            data: order.body.slice(..immediate),
+        };
+        self.cmd_sn = self.cmd_sn.wrapping_add(1);
+        if self.tasks.is_empty() {
+            // The silence that counts begins with the first thing owed.
+            (self.heard, self.pinged) = (Instant::now(), false);
+        }
+        let task = Task {
+            report: Some(report),
+            lun: order.volume,
+            write: order.body.clone(),
+            written: false,
+            expected: if order.write { 0 } else { length },
+            read: BytesMut::new(),
+        };
+        self.tasks.insert(itt, task);
+        self.ends.push(Box::pin(async move {
+            tokio::select! {
+                _ = cancel => (itt, Outcome::Cancelled),
+                () = tokio::time::sleep_until(until) => (itt, Outcome::TimedOut),
+            }
+        }));
+        self.send(&pdu).await?;
+        if immediate == order.body.len()
+            && let Some(task) = self.tasks.get_mut(&itt)
+        {
+            task.written = true;
+        }
+        Ok(())
+    }
+
+    /// Tells an attempt's end and asks the target to stop; its tag stays taken until the target's last word.
+    async fn give_up(&mut self, itt: u32, outcome: Outcome) -> io::Result<()> {
+        let Some(task) = self.tasks.get_mut(&itt) else { return Ok(()) };
+        let Some(report) = task.report.take() else { return Ok(()) };
+        report.tell(Reply::bare(outcome));
+        let lun = task.lun;
+        let abort = Pdu::TaskRequest {
+            immediate: true,
+            function: ABORT_TASK,
+            lun,
+            // The response carries the aborted task's own tag, which ends it.
+            itt: itt | ABORTS,
+            referenced: itt,
+            cmd_sn: self.cmd_sn,
+            exp_stat_sn: self.exp_stat_sn,
+        };
+        self.send(&abort).await
+    }
+
+    async fn hear(&mut self, pdu: Pdu) -> io::Result<()> {
+        if let Pdu::NopIn { seq, .. }
+        | Pdu::ScsiResponse { seq, .. }
+        | Pdu::TaskResponse { seq, .. }
+        | Pdu::DataIn { seq, .. }
+        | Pdu::R2t { seq, .. }
+        | Pdu::Async { seq, .. } = &pdu
+        {
+            self.max_cmd_sn = seq.max_cmd_sn;
+            self.exp_stat_sn = seq.stat_sn.wrapping_add(1);
+        }
+        match pdu {
+            Pdu::NopIn { lun, ttt, data, .. } if ttt != NO_TAG => {
+                let (cmd_sn, exp_stat_sn) = (self.cmd_sn, self.exp_stat_sn);
+                let pong = Pdu::NopOut { immediate: true, lun, itt: NO_TAG, ttt, cmd_sn, exp_stat_sn, data };
+                self.send(&pong).await?;
+            }
+            Pdu::NopIn { .. } => {}
+            Pdu::DataIn { status, itt, offset, data, .. } => {
+                let Some(task) = self.tasks.get_mut(&itt) else { return Ok(()) };
+                let fits = task.read.len() + data.len() <= task.expected as usize;
+                if offset as usize != task.read.len() || !fits {
+                    return Err(broken("data out of place"));
+                }
+                task.read.extend_from_slice(&data);
+                if let Some((status, residual)) = status {
+                    self.end(itt, status, residual);
+                }
+            }
+            Pdu::ScsiResponse { response, status, itt, residual, .. } => {
+                // A response other than 'completed at target' has no status.
+                self.end(itt, if response == 0 { status } else { scsi::CHECK_CONDITION }, residual);
+            }
+            Pdu::TaskResponse { itt, .. } => {
+                self.tasks.remove(&(itt & !ABORTS));
+            }
+            Pdu::R2t { lun, itt, ttt, offset, length, .. } => {
+                self.data_out(lun, itt, ttt, offset, length).await?
+            }
+            Pdu::Async { .. } => {}
+            other => return Err(broken(format!("unexpected: {other:?}"))),
+        }
+        Ok(())
+    }
+
+    async fn data_out(&mut self, lun: u64, itt: u32, ttt: u32, offset: u32, length: u32) -> io::Result<()> {
+        let Some(task) = self.tasks.get(&itt).filter(|t| t.report.is_some()) else { return Ok(()) };
+        let (start, end) = (offset as usize, offset as usize + length as usize);
+        if length == 0 || end > task.write.len() {
+            return Err(broken("it asks for data that the command does not have"));
+        }
+        let data = task.write.slice(start..end);
+        let segment = self.settled.segment;
+        for (data_sn, at) in (0..data.len()).step_by(segment).enumerate() {
+            let chunk = data.slice(at..data.len().min(at + segment));
+            let last = at + chunk.len() == data.len();
+            let (data_sn, offset) = (data_sn as u32, (start + at) as u32);
+            let exp_stat_sn = self.exp_stat_sn;
+            self.send(&Pdu::DataOut { last, lun, itt, ttt, exp_stat_sn, data_sn, offset, data: chunk })
+                .await?;
+        }
+        if let Some(task) = self.tasks.get_mut(&itt).filter(|t| end == t.write.len()) {
+            task.written = true;
+        }
+        Ok(())
+    }
+
+    fn end(&mut self, itt: u32, status: u8, residual: Residual) {
+        let Some(task) = self.tasks.remove(&itt) else { return };
+        let Some(report) = task.report else { return };
+        let missing = match residual {
+            Residual::Under(n) => n,
+            _ => 0,
+        };
+        // Data that the target says it sent and that did not come is not an answer.
+        let whole = task.read.len() as u32 + missing == task.expected;
+        let outcome = match status {
+            scsi::GOOD if whole => Outcome::Served,
+            scsi::BUSY | scsi::TASK_SET_FULL => Outcome::Full,
+            _ => Outcome::Error,
+        };
+        let body = if outcome == Outcome::Served { task.read.freeze() } else { Bytes::new() };
+        report.tell(Reply { body, ..Reply::bare(outcome) });
+    }
+}
+
+fn broken(reason: impl Into<String>) -> io::Error {
+    io::Error::other(reason.into())
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,11 +1,14 @@
 //! Puts an initiator together and runs it until it is told to end.
 
-use crate::config::{Config, ConfigError};
-use crate::core::{Clock, Core};
+use crate::config::{Config, ConfigError, Iscsi};
+use crate::core::{self, Clock, Connect, Core, Handle, ListMessage, Listed, Message, Wire};
+use crate::interface::{ListKind, NodeState};
 use crate::names::Names;
-use crate::net::http;
+use crate::net::{http, iscsi};
 use crate::rules::Gateway;
+use crate::settings::Settings;
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -47,64 +50,181 @@
     }
 }
 
-/// Serves until SIGTERM or SIGINT, then finishes what is held.
-pub async fn serve(config: Config) -> Result<(), Error> {
-    let clock = Clock::start();
+/// The module and the names, from the settings.
+fn decide(config: &Config) -> Result<(Gateway, Names), ConfigError> {
     let mut names = Names::default();
     let settings = config.settings.translate(&mut names);
     let gateway = settings
         .and_then(|s| Gateway::new(s, config.seed))
-        .map_err(|e| Error::Config(ConfigError::new(format!("settings.{}", e.field), e.problem)))?;
+        .map_err(|e| ConfigError::new(format!("settings.{}", e.field), e.problem))?;
+    Ok((gateway, names))
+}
+
+/// Whether the configuration could be served.
+pub fn check(config: &Config) -> Result<(), ConfigError> {
+    decide(config).map(|_| ())
+}
+
+/// Serves until SIGTERM or SIGINT, then finishes what is held.
+pub async fn serve(config: Config) -> Result<(), Error> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let listener = TcpListener::bind(config.listen).await?;
-
-    let (ask, asked) = mpsc::channel(4);
-    let pool = http::Pool {
-        connect_timeout: config.settings.connect_timeout(),
-        idle: config.settings.conn_idle() / 2,
+    let told = async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
     };
-    let (core, handle) =
-        Core::new(gateway, names, clock, ask, Box::new(move |line| http::connect(line, pool)));
-    actix_rt::spawn(core.run());
-    let version = config.known.as_ref().map(http::Page::version);
-    if let Some(known) = config.known {
-        handle.tell(http::remembered(known)).await;
+    Ok(Node::start(config).await?.run(told).await?)
+}
+
+/// An initiator that listens.
+pub struct Node {
+    core: Handle,
+    http: TcpListener,
+    iscsi: Option<(TcpListener, Iscsi)>,
+    classes: Vec<(String, Duration)>,
+    /// How long finishing may take once the end is told.
+    patience: Duration,
+}
+
+impl Node {
+    /// Starts the core, the list and the listeners.
+    pub async fn start(config: Config) -> Result<Node, Error> {
+        let clock = Clock::start();
+        let (gateway, names) = decide(&config).map_err(Error::Config)?;
+        let http = TcpListener::bind(config.listen).await?;
+        let iscsi = match config.iscsi {
+            Some(iscsi) => Some((TcpListener::bind(iscsi.listen).await?, iscsi)),
+            None => None,
+        };
+        let (ask, asked) = mpsc::channel(4);
+        let pool = http::Pool {
+            connect_timeout: config.settings.connect_timeout(),
+            idle: config.settings.conn_idle() / 2,
+        };
+        let (inbox, core) = core::mailbox();
+        let figures = iscsi.as_ref().map(|(_, iscsi)| figures(iscsi, &config.settings));
+        let connect = connect(pool, figures, core.clone());
+        actix_rt::spawn(Core::new(gateway, names, clock, inbox, ask, connect).run());
+        let version = config.known.as_ref().map(http::Page::version);
+        if let Some(known) = config.known {
+            core.tell(http::remembered(known)).await;
+        }
+        if let Some((_, iscsi)) = &iscsi {
+            core.tell(portals(iscsi)).await;
+        }
+        if let Some(addr) = config.discovery {
+            let directory = http::Directory::new(addr, pool.connect_timeout, core.clone(), version);
+            actix_rt::spawn(directory.run(asked));
+        } else {
+            actix_rt::spawn(nothing_changes(asked, core.clone()));
+        }
+        tracing::info!(name = config.name, listen = %config.listen, "serving");
+        let classes = classes(&config.settings);
+        let patience = config.settings.longest_deadline().min(LONGEST) + AFTER - SPARE;
+        Ok(Node { core, http, iscsi, classes, patience })
+    }
+
+    /// Where clients connect.
+    pub fn http_addr(&self) -> std::io::Result<SocketAddr> {
+        self.http.local_addr()
     }
-    if let Some(addr) = config.discovery {
-        let directory = http::Directory::new(addr, pool.connect_timeout, handle.clone(), version);
-        actix_rt::spawn(directory.run(asked));
+
+    /// Where sessions connect, if that front is on.
+    pub fn iscsi_addr(&self) -> Option<std::io::Result<SocketAddr>> {
+        self.iscsi.as_ref().map(|(listener, _)| listener.local_addr())
     }
 
-    let (ending, ending_rx) = watch::channel(false);
-    let (closing, closing_rx) = watch::channel(false);
-    let connections = Rc::new(Cell::new(0));
-    let front = http::Front {
-        core: handle.clone(),
-        ending: ending_rx,
-        closing: closing_rx,
-        connections: Rc::clone(&connections),
-    };
-    let mut front = Box::pin(http::serve(listener, front));
-    tracing::info!(name = config.name, listen = %config.listen, "serving");
-    tokio::select! {
-        end = &mut front => return end.map_err(Error::Io),
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    /// Serves until told to end, then finishes what is held.
+    pub async fn run(self, told: impl Future<Output = ()>) -> std::io::Result<()> {
+        let (ending, ending_rx) = watch::channel(false);
+        let (closing, closing_rx) = watch::channel(false);
+        let connections = Rc::new(Cell::new(0));
+        let sessions = Rc::new(Cell::new(0));
+        if let Some((listener, iscsi)) = self.iscsi {
+            let front = iscsi::Front {
+                core: self.core.clone(),
+                name: iscsi.name,
+                luns: iscsi.luns,
+                classes: self.classes,
+                blocks_per_unit: iscsi.blocks_per_unit,
+                ending: ending.subscribe(),
+                sessions: Rc::clone(&sessions),
+            };
+            actix_rt::spawn(iscsi::serve(listener, Rc::new(front)));
+        }
+        let front = http::Front {
+            core: self.core.clone(),
+            ending: ending_rx,
+            closing: closing_rx,
+            connections: Rc::clone(&connections),
+        };
+        let mut front = Box::pin(http::serve(self.http, front));
+        tokio::select! {
+            end = &mut front => return end,
+            () = told => {}
+        }
+
+        let told = Instant::now();
+        let open = self.core.open();
+        tracing::info!(open, "ending");
+        ending.send_replace(true);
+        // Clients still come for a while; the listener ends with the future that holds it.
+        let _ = tokio::time::timeout_at(told + ACCEPT_ON, &mut front).await;
+        drop(front);
+        tokio::time::sleep_until(told + CLOSE_IDLE).await;
+        closing.send_replace(true);
+        // Sessions were asked to log out. One that stays without a request open does not hold the end up.
+        while (connections.get() > 0 || self.core.open() > 0) && Instant::now() < told + self.patience {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let open = self.core.open();
+        tracing::info!(open, connections = connections.get(), sessions = sessions.get(), "ended");
+        Ok(())
+    }
+}
+
+fn connect(pool: http::Pool, figures: Option<iscsi::Figures>, core: Handle) -> Connect {
+    Box::new(move |line| match (line.wire, &figures) {
+        (Wire::Iscsi, Some(figures)) => iscsi::connect(line, figures.clone(), core.clone()),
+        _ => http::connect(line, pool),
+    })
+}
+
+fn classes(settings: &Settings) -> Vec<(String, Duration)> {
+    settings.classes().map(|(name, deadline)| (name.to_string(), deadline)).collect()
+}
+
+fn figures(iscsi: &Iscsi, settings: &Settings) -> iscsi::Figures {
+    iscsi::Figures {
+        initiator: iscsi.name.clone(),
+        classes: classes(settings).into_iter().map(|(name, _)| name).collect(),
+        connect_timeout: settings.connect_timeout(),
+        login_timeout: iscsi.login_timeout,
+        silence: iscsi.silence,
+        blocks_per_unit: iscsi.blocks_per_unit,
     }
+}
+
+/// The targets that an operator's file lists.
+fn portals(iscsi: &Iscsi) -> Message {
+    let line = |portal: &crate::config::Portal| Listed {
+        name: portal.name.clone(),
+        wire: Wire::Iscsi,
+        addr: portal.addr,
+        zone: portal.zone.clone(),
+        shard: portal.shard,
+        state: NodeState::In,
+        started: None,
+    };
+    let entries = iscsi.targets.iter().map(line).collect();
+    Message::List { wire: Wire::Iscsi, kind: ListKind::Full, entries }
+}
 
-    let told = Instant::now();
-    let last = told + config.settings.longest_deadline().min(LONGEST) + AFTER - SPARE;
-    tracing::info!(open = handle.open(), "ending");
-    ending.send_replace(true);
-    // Clients still come for a while; the listener ends with the future that holds it.
-    let _ = tokio::time::timeout_at(told + ACCEPT_ON, &mut front).await;
-    drop(front);
-    tokio::time::sleep_until(told + CLOSE_IDLE).await;
-    closing.send_replace(true);
-    while connections.get() > 0 && Instant::now() < last {
-        tokio::time::sleep(Duration::from_millis(5)).await;
+/// Stands in for discovery where there is none: what sessions tell are all the changes there are.
+async fn nothing_changes(mut asked: mpsc::Receiver<ListMessage>, core: Handle) {
+    while asked.recv().await.is_some() {
+        core.tell(Message::List { wire: Wire::Iscsi, kind: ListKind::Changes, entries: Vec::new() }).await;
     }
-    tracing::info!(open = handle.open(), connections = connections.get(), "ended");
-    Ok(())
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -130,9 +130,9 @@
         Duration::from_micros(self.grades.iter().map(|g| g.hard_limit).max().unwrap_or(0))
     }
 
-    /// The names of the classes, in the order of their numbers.
-    pub fn classes(&self) -> impl Iterator<Item = &str> {
-        self.grades.iter().map(|g| g.name.as_str())
+    /// The classes in the order of their numbers: the name, and how long a client waits at most.
+    pub fn classes(&self) -> impl Iterator<Item = (&str, Duration)> {
+        self.grades.iter().map(|g| (g.name.as_str(), Duration::from_micros(g.hard_limit)))
     }
 
     /// The names of the plans, in the order of their numbers.
@@ -140,17 +140,6 @@
         self.policies.iter().map(|p| p.name.as_str())
     }
 
-    /// How long a client of this class waits at most.
-    pub fn deadline(&self, class: &str) -> Option<Duration> {
-        let grade = self.grades.iter().find(|g| g.name == class)?;
-        Some(Duration::from_micros(grade.hard_limit))
-    }
-
-    /// The names of the fields of a load report.
-    pub fn report_fields(&self) -> &[String] {
-        &self.report.fields
-    }
-
     pub fn translate(&self, names: &mut Names) -> Result<api::Settings, SettingsError> {
         let word = |field: String| SettingsError { field, problem: "holds an unknown word" };
         names.zones = self.azs.clone();
--- /dev/null
+++ b/tests/network/http.rs
@@ -0,0 +1,158 @@
+//! Stories on the platform's protocol.
+
+use crate::site::*;
+use insta::assert_snapshot;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+async fn saw(peer: &mut Peer, count: usize) -> String {
+    let mut lines = Vec::new();
+    for _ in 0..count {
+        lines.push(peer.seen.recv().await.expect("the peer lives"));
+    }
+    lines.join("\n")
+}
+
+#[test]
+fn a_request_passes_on_unchanged_and_its_answer_comes_back() {
+    story(async {
+        let mut target = peer(vec![ok("stored")]).await;
+        let node = start(&[line(target.addr, 0, "active")], None, None).await;
+        assert_eq!(ask(node.http, &request("deposit", "a1", 0, "bytes")).await, "200 stored");
+        assert_snapshot!(saw(&mut target, 1).await,
+            @"PUT /deposit/00000003b4d60021/7f3a9c21e0b4d655?v=1 HTTP/1.1 a1 key-1 bytes");
+    });
+}
+
+// Guards the table of outcomes: what never ran goes again at once, what may have run only as its class allows,
+// and only bytes that a target made whole are served.
+#[test]
+fn a_target_that_breaks_off_is_tried_again_and_half_an_answer_is_none() {
+    story(async {
+        let half = Step::Last("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhal".into());
+        let unseen = Step::Answer("HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n".into());
+        let mut target = peer(vec![half, unseen, ok("whole")]).await;
+        let node = start(&[line(target.addr, 0, "active")], None, None).await;
+        assert_eq!(ask(node.http, &request("deposit", "b1", 0, "x")).await, "200 whole");
+        assert_snapshot!(saw(&mut target, 3).await, @r"
+        PUT /deposit/00000003b4d60021/7f3a9c21e0b4d655?v=1 HTTP/1.1 b1 key-1 x
+        PUT /deposit/00000003b4d60021/7f3a9c21e0b4d655?v=1 HTTP/1.1 b1 key-1 x
+        PUT /deposit/00000003b4d60021/7f3a9c21e0b4d655?v=1 HTTP/1.1 b1 key-1 x
+        ");
+    });
+}
+
+// The client library calls a connection that ends after the request was written a failed connect. A deposit
+// that may have run must not be refused as harmless: a refusal would be a broken rule.
+#[test]
+fn a_deposit_that_may_have_run_fails_and_one_that_never_ran_is_refused() {
+    story(async {
+        let target = peer(vec![Step::Last(String::new()); 3]).await;
+        let node = start(&[line(target.addr, 0, "active")], None, None).await;
+        assert_eq!(ask(node.http, &request("deposit", "c1", 0, "x")).await, "500");
+        let nobody = std::net::TcpListener::bind("127.0.0.1:0").expect("bound").local_addr().expect("bound");
+        let node = start(&[line(nobody, 0, "active")], None, None).await;
+        assert!(ask(node.http, &request("deposit", "c2", 0, "x")).await.starts_with("503"));
+    });
+}
+
+// A redirect, or a body that says it is compressed, must pass through no hand of the client library's.
+#[test]
+fn no_library_acts_behind_the_core() {
+    story(async {
+        let moved = "HTTP/1.1 302 Found\r\nLocation: /elsewhere\r\nContent-Length: 0\r\n\r\n";
+        let packed = "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\nContent-Length: 3\r\n\r\nraw";
+        let mut target = peer(vec![Step::Answer(moved.into()), Step::Answer(packed.into())]).await;
+        let node = start(&[line(target.addr, 0, "active")], None, None).await;
+        assert_eq!(ask(node.http, &request("view", "d1", 0, "")).await, "200 raw");
+        assert!(!saw(&mut target, 2).await.contains("elsewhere"));
+    });
+}
+
+#[test]
+fn a_client_that_goes_takes_its_attempt_along() {
+    story(async {
+        let mut target = peer(vec![Step::Silence]).await;
+        let node = start(&[line(target.addr, 0, "active")], None, None).await;
+        let mut client = TcpStream::connect(node.http).await.expect("connected");
+        client.write_all(request("view", "e1", 0, "").as_bytes()).await.expect("written");
+        let first = saw(&mut target, 1).await;
+        drop(client);
+        assert_snapshot!(format!("{first}\n{}", saw(&mut target, 1).await), @r"
+        GET /view/00000003b4d60021/7f3a9c21e0b4d655?v=1 HTTP/1.1 e1
+        closed
+        ");
+    });
+}
+
+#[test]
+fn malformed_and_over_large_requests_are_answered_at_once_and_the_front_goes_on() {
+    story(async {
+        let target = peer(vec![ok("fine")]).await;
+        let node = start(&[line(target.addr, 0, "active")], None, None).await;
+        let good = request("view", "f1", 0, "");
+        let mut answers = Vec::new();
+        for bad in [
+            "nonsense\r\n\r\n".to_string(),
+            good.replace("GET", "POST"),
+            good.replace("7f3a9c21e0b4d655", "7f3a"),
+            good.replace("shard=0", "shard=x"),
+            good.replace("X-Time-Left-Ms: 1400", "X-Time-Left-Ms: soon"),
+            good.replace("X-Correlation-Id: f1\r\n", ""),
+            request("deposit", "f2", 0, "x").replace("Content-Length: 1", "Content-Length: 65537"),
+            good,
+        ] {
+            answers.push(ask(node.http, &bad).await);
+        }
+        let statuses: Vec<&str> = answers.iter().map(|a| a.split(' ').next().unwrap_or_default()).collect();
+        assert_snapshot!(statuses.join(" "), @"400 400 400 400 400 400 413 200");
+    });
+}
+
+// The list's life: remembered news serve until discovery speaks, a watch goes on from the version held, a
+// failed call is made again, and a target told to leave gets nothing new.
+#[test]
+fn discovery_is_watched_asked_again_and_obeyed() {
+    story(async {
+        let page = |version, entry: String| {
+            let body = format!(r#"{{"version":{version},"full":false,"servers":[{entry}]}}"#);
+            ok(&body)
+        };
+        let (old, mut new) = (peer(vec![]).await, peer(vec![ok("new")]).await);
+        let mut list = peer(vec![
+            Step::Answer("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n".into()),
+            page(2, line(old.addr, 0, "leaving")),
+            page(3, line(new.addr, 0, "active").replace("s-0", "s-9")),
+        ])
+        .await;
+        let node = start(&[line(old.addr, 0, "active")], Some(list.addr), None).await;
+        assert_snapshot!(saw(&mut list, 4).await, @r"
+        GET /discovery/hosts?from=1&hold_ms=1 HTTP/1.1
+        GET /discovery/hosts?from=1&hold_ms=1 HTTP/1.1
+        GET /discovery/hosts?from=2&hold_ms=10000 HTTP/1.1
+        GET /discovery/hosts?from=3&hold_ms=10000 HTTP/1.1
+        ");
+        assert_eq!(ask(node.http, "GET /up HTTP/1.1\r\nHost: x\r\n\r\n").await, "200");
+        assert_eq!(ask(node.http, &request("view", "g1", 0, "")).await, "200 new");
+        saw(&mut new, 1).await;
+    });
+}
+
+#[test]
+fn told_to_end_it_serves_what_still_comes_closes_and_ends() {
+    story(async {
+        let target = peer(vec![ok("one"), ok("two"), ok("three")]).await;
+        let node = start(&[line(target.addr, 0, "active")], None, None).await;
+        let mut old = TcpStream::connect(node.http).await.expect("connected");
+        assert_eq!(ask_on(&mut old, &request("view", "h1", 0, "")).await, "200 one");
+        node.end.send(()).expect("it runs");
+        let new = ask(node.http, &request("view", "h2", 0, "")).await;
+        let old = ask_on(&mut old, &request("view", "h3", 0, "")).await;
+        node.run.await.expect("no panic").expect("no error");
+        assert!(TcpStream::connect(node.http).await.is_err());
+        assert_snapshot!(format!("{new}\n{old}"), @r"
+        200 close two
+        200 close three
+        ");
+    });
+}
--- /dev/null
+++ b/tests/network/main.rs
@@ -0,0 +1,5 @@
+//! The fronts and the targets over loopback sockets, against peers that misbehave on command.
+
+mod http;
+mod iscsi;
+mod site;
--- /dev/null
+++ b/tests/network/site.rs
@@ -0,0 +1,173 @@
+//! An initiator on loopback, and a story of what its peers saw.
+
+use rowanglade::config::Config;
+use rowanglade::node::Node;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+
+/// Runs a story on the runtime that the program has; a story that hangs fails.
+pub fn story(future: impl Future<Output = ()>) {
+    let limit = std::time::Duration::from_secs(20);
+    actix_rt::System::new().block_on(async { tokio::time::timeout(limit, future).await }).expect("it ends");
+}
+
+const SETTINGS: &str = r#"{"azs":["kingston"],"ceilings":{"cancel":true,"conn-idle":30000000,"connect-timeout":250000,
+"max-attempts":3,"max-retry-after":500000,"retry-after":true,"second-copies":true},"discovery":"on_request",
+"family-info":{"cold-units":51.0,"usual-units":2.0,"writes":[false,true]},
+"grades":[{"group":"all","hard-limit":1500000,"idempotency":"repeatable","memory-span":5000000,"name":"view",
+"promise":300000,"worth":2.0},{"group":"cell","hard-limit":3000000,"idempotency":"by_key","memory-span":3000000,
+"name":"deposit","promise":400000,"worth":2.0}],
+"policies":[{"name":"full","floor-rate":8.0,"nominal":8.0,"never-over":0.0,"weight":2.0}],
+"report":{"fields":["depth"]},"rules":{"cold-from":0.28,"drain-grace":1000000,"fall-multiple":2.5,
+"must-ask-in":10000000,"tip-after":3000000,"warm-within":15000000},"siblings":1}"#;
+
+/// One target of a list.
+pub fn line(addr: SocketAddr, shard: u32, state: &str) -> String {
+    format!(
+        r#"{{"id":"s-{shard}","addr":"{addr}","zone":"kingston","cell":{shard},"state":"{state}","started_ms":0}}"#
+    )
+}
+
+/// Starts an initiator that remembers these targets; it ends when the sender is used or dropped.
+pub async fn start(lines: &[String], discovery: Option<SocketAddr>, iscsi: Option<&str>) -> Running {
+    let known = format!(r#"{{"version":1,"full":true,"servers":[{}]}}"#, lines.join(","));
+    let discovery = discovery.map_or(String::new(), |a| format!(r#""discovery":"{a}","#));
+    let json = format!(
+        r#"{{"name":"n1","listen":"127.0.0.1:0","seed":"5",{discovery}"known":{known},"settings":{SETTINGS}}}"#
+    );
+    let dir = std::env::temp_dir().join(format!(
+        "rowanglade-{}-{:?}",
+        std::process::id(),
+        std::thread::current().id()
+    ));
+    std::fs::create_dir_all(&dir).expect("a folder");
+    let (config, operator) = (dir.join("config.json"), dir.join("operator.toml"));
+    std::fs::write(&config, json).expect("written");
+    std::fs::write(&operator, iscsi.unwrap_or_default()).expect("written");
+    let env = |name: &str| (name == "LB_CONFIG").then(|| config.display().to_string());
+    let config = Config::load(env, Some(&operator)).expect("usable");
+    std::fs::remove_dir_all(&dir).expect("removed");
+    let node = Node::start(config).await.expect("it starts");
+    let (http, iscsi) = (node.http_addr().expect("bound"), node.iscsi_addr().map(|a| a.expect("bound")));
+    let (end, told) = oneshot::channel();
+    let run = actix_rt::spawn(node.run(async { drop(told.await) }));
+    Running { http, iscsi, end, run }
+}
+
+pub struct Running {
+    pub http: SocketAddr,
+    pub iscsi: Option<SocketAddr>,
+    pub end: oneshot::Sender<()>,
+    pub run: actix_rt::task::JoinHandle<std::io::Result<()>>,
+}
+
+/// What a peer does once it has read a request whole.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// Writes this and goes on.
+    Answer(String),
+    /// Writes this and closes.
+    Last(String),
+    /// Says nothing until the other side closes.
+    Silence,
+}
+
+pub fn ok(body: &str) -> Step {
+    Step::Answer(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
+}
+
+/// An HTTP peer that follows a script, one step a request, and tells what it saw.
+pub struct Peer {
+    pub addr: SocketAddr,
+    pub seen: mpsc::UnboundedReceiver<String>,
+}
+
+pub async fn peer(script: Vec<Step>) -> Peer {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+    let addr = listener.local_addr().expect("bound");
+    let (tell, seen) = mpsc::unbounded_channel();
+    let script = Rc::new(RefCell::new(script.into_iter()));
+    actix_rt::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            actix_rt::spawn(follow(stream, Rc::clone(&script), tell.clone()));
+        }
+    });
+    Peer { addr, seen }
+}
+
+async fn follow(
+    mut stream: TcpStream,
+    script: Rc<RefCell<std::vec::IntoIter<Step>>>,
+    tell: mpsc::UnboundedSender<String>,
+) {
+    while let Some((head, body)) = read_message(&mut stream).await {
+        let told = ["x-correlation-id", "idempotency-key"].iter().filter_map(|n| header(&head, n));
+        let told: Vec<String> = told.collect();
+        let first = head.lines().next().unwrap_or_default();
+        let _ = tell.send(
+            format!("{first} {} {}", told.join(" "), String::from_utf8_lossy(&body)).trim().to_string(),
+        );
+        let step = script.borrow_mut().next();
+        match step {
+            Some(Step::Answer(text)) => stream.write_all(text.as_bytes()).await.expect("written"),
+            Some(Step::Last(text)) => {
+                stream.write_all(text.as_bytes()).await.expect("written");
+                return;
+            }
+            Some(Step::Silence) | None => {
+                let _ = stream.read(&mut [0; 1]).await;
+                let _ = tell.send("closed".to_string());
+                return;
+            }
+        }
+    }
+}
+
+pub fn header(head: &str, name: &str) -> Option<String> {
+    let found = head.lines().filter_map(|l| l.split_once(':')).find(|(n, _)| n.eq_ignore_ascii_case(name));
+    found.map(|(_, v)| v.trim().to_string())
+}
+
+/// Head and body of the next message; None where the stream ends before one.
+pub async fn read_message(stream: &mut TcpStream) -> Option<(String, Vec<u8>)> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    let head = String::from_utf8(head).expect("UTF-8");
+    let length = header(&head, "content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).await.ok()?;
+    Some((head, body))
+}
+
+/// Sends raw bytes on a new connection and tells status, closing and body of the answer.
+pub async fn ask(addr: SocketAddr, request: &str) -> String {
+    let mut stream = TcpStream::connect(addr).await.expect("connected");
+    ask_on(&mut stream, request).await
+}
+
+pub async fn ask_on(stream: &mut TcpStream, request: &str) -> String {
+    stream.write_all(request.as_bytes()).await.expect("written");
+    let Some((head, body)) = read_message(stream).await else { return "nothing".to_string() };
+    let status = head.split(' ').nth(1).unwrap_or_default();
+    let closes = header(&head, "connection").map_or(String::new(), |c| format!(" {c}"));
+    let after = header(&head, "retry-after").map_or(String::new(), |_| " retry-after".to_string());
+    format!("{status}{closes}{after} {}", String::from_utf8_lossy(&body)).trim().to_string()
+}
+
+/// A request of the platform's form.
+pub fn request(class: &str, id: &str, shard: i32, body: &str) -> String {
+    let method = if class == "deposit" { "PUT" } else { "GET" };
+    let keyed = if class == "deposit" { "Idempotency-Key: key-1\r\n" } else { "" };
+    let length = if body.is_empty() { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
+    format!(
+        "{method} /{class}/00000003b4d60021/7f3a9c21e0b4d655?v=1 HTTP/1.1\r\nHost: api.internal\r\n\
+         X-Correlation-Id: {id}\r\nX-Service-Class: {class}\r\nX-Qos-Policy: full\r\nX-Time-Left-Ms: 1400\r\n\
+         X-Placement: units=2,shard={shard},hosts=1\r\n{keyed}{length}\r\n{body}"
+    )
+}
