--- a/src/net/iscsi/frame.rs
+++ b/src/net/iscsi/frame.rs
@@ -33,6 +33,11 @@
         Frames { from, buffer: BytesMut::new() }
     }
 
+    /// The stream, without what was read of it and not taken.
+    pub fn into_inner(self) -> R {
+        self.from
+    }
+
     pub async fn next(&mut self) -> Result<Pdu, Unreadable> {
         loop {
             if let Some(pdu) = self.take() {
--- a/src/net/iscsi/mod.rs
+++ b/src/net/iscsi/mod.rs
@@ -16,5 +16,5 @@
 
 pub use frame::{Frames, Unreadable};
 pub use front::{Front, Lun, serve};
-pub use pdu::{Header, Pdu, Sequence};
+pub use pdu::{Header, Login, NO_TAG, Pdu, Residual, Sequence};
 pub use session::{Figures, connect};
--- a/src/net/iscsi/session.rs
+++ b/src/net/iscsi/session.rs
@@ -61,13 +61,16 @@
         let mut waiting = VecDeque::new();
         loop {
             let drained = self.line.state != NodeState::In;
-            if waiting.is_empty() {
+            let again = Instant::now() + TRY_AGAIN;
+            while waiting.is_empty() {
                 tokio::select! {
                     message = self.rx.recv() => match message {
+                        // Sent just before the drain was told: nothing new goes to it.
+                        Some(message) if drained => tell_unsent(message, Outcome::Unreachable),
                         Some(message) => waiting.push_back(message),
                         None => return,
                     },
-                    () = tokio::time::sleep(TRY_AGAIN), if drained => {}
+                    () = tokio::time::sleep_until(again), if drained => break,
                 }
             }
             match self.open().await {
