Give up at once what cannot be served in time, and tell the client when to come back

Now a request that its limit cannot let through before its deadline is refused on arrival; one that missed its aim unsent is refused then; background work and requests waiting for their turn are still waited for. Every refusal says when to come back: the refill of the limit, the node's rest, or its predicted backlog, within longest_advice. The limit's store counts from this gateway's start, so a volume's first request finds what has filled since.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -36,12 +36,13 @@
 const BACKGROUND_PART: f64 = 0.2;
 /// It waits while it is predicted to take more than this part of the tightest aim.
 const BACKGROUND_AIM_PART: f64 = 0.5;
-/// The level of dues rises at this rate a second, and falls by `LEVEL_FALL` times the part refused of what is
-/// asked: it settles where their ratio of the work inside it is refused.
+/// The level of dues rises at this rate a second, and falls by `LEVEL_FALL` times the part refused.
 const LEVEL_RISE: f64 = 0.5;
 const LEVEL_FALL: f64 = 10.0;
 /// It stays above this part of what any volume asked lately.
 const LEVEL_FLOOR: f64 = 0.1;
+/// Clients are told to stay away for this long at least.
+const SHORTEST_ADVICE: Micros = 20_000;
 /// How often held requests are looked at again.
 const TICK: Micros = 10_000;
 /// A node that turned a request away or could not be reached rests this long, doubled at each further one.
@@ -59,6 +60,9 @@
     Maybe,
 }
 
+/// An attempt, how it ended, how long it took, and whether its request is over.
+type End = (Attempt, Outcome, Micros, bool);
+
 struct Try {
     node: NodeId,
     sent: Micros,
@@ -202,17 +206,8 @@
             .iter()
             .map(|c| !c.write && c.aim as f64 >= BACKGROUND_AIM * tightest as f64 && c.aim > tightest)
             .collect();
-        let ask_wait = ASK_AGAIN;
         let margins = vec![1.0; settings.classes.len()];
-        Ok(Gateway {
-            s: settings,
-            random: seed,
-            background,
-            tightest,
-            margins,
-            ask_wait,
-            ..Gateway::default()
-        })
+        Ok(Gateway { s: settings, random: seed, background, tightest, margins, ..Gateway::default() })
     }
 
     pub fn handle(&mut self, now: Micros, event: Event, act: &mut Vec<Action>) {
@@ -221,7 +216,7 @@
             Event::Request(r) => self.request(now, r, act),
             Event::Outcome { id, attempt, outcome, took, over, used, elsewhere, .. } => {
                 self.use_told(now, id, outcome, used, elsewhere);
-                self.outcome(now, id, attempt, outcome, took, over, act);
+                self.outcome(now, id, (attempt, outcome, took, over), act);
             }
             Event::Started { id, .. } => {
                 if let Some(h) = self.requests.get_mut(&id) {
@@ -267,9 +262,7 @@
         }
         if let Some(b) = self.s.rules.attempt_budget {
             self.taken.push_back(now);
-            while self.taken.front().is_some_and(|t| t + b.window <= now) {
-                self.taken.pop_front();
-            }
+            self.taken.retain(|t| t + b.window > now);
         }
         let Some(class) = r.class.map(|c| c.0 as usize).filter(|c| *c < self.s.classes.len()) else {
             act.push(Action::Fail { id: r.id });
@@ -296,12 +289,10 @@
         }
         self.requests.insert(r.id, held);
         self.deadlines.insert((r.deadline, r.id));
-        if self.hold(now, r.id, true) {
-            if let Some(shard) = self.requests[&r.id].shard {
-                self.pump(now, shard, act);
-            }
-        } else {
+        if !self.hold(now, r.id, true) {
             self.answer(now, r.id, act);
+        } else if let Some(shard) = self.requests[&r.id].shard {
+            self.pump(now, shard, act);
         }
     }
 
@@ -313,6 +304,10 @@
         }
         let h = &self.requests[&id];
         let (class, units, due, background) = (h.class, h.units, h.due, self.background[h.class]);
+        // What the volume's limit cannot let through before the client gives up is given up at once.
+        if arriving && self.limit(now, h).is_some_and(|(.., fill)| now + fill >= h.deadline) {
+            return false;
+        }
         let Some(shard) = h.shard else {
             self.homeless.push(id);
             return true;
@@ -471,8 +466,7 @@
     /// The design's closed form, in microseconds.
     fn closed_form(&self, now: Micros, node: NodeId, units: f64) -> f64 {
         let (speed, latency) = self.learned(now, node);
-        // Silence while answers are owed tells already what they will tell, and ends with the first of them:
-        // this covers pauses, hangs and slow nodes alike and never acts on light traffic, which owes nothing.
+        // Silence while answers are owed tells already what they will tell, and ends with the first of them.
         let n = &self.nodes[&node];
         let owed = n.out.first_key_value().map(|((sent, _, _), _)| n.answered.max(*sent));
         let silence = owed.map_or(0, |since| now.saturating_sub(since)) as f64;
@@ -513,12 +507,9 @@
                 // the attempts of all that wait for it. Covers crashes, full queues, lost connections.
                 let full = full || (n.failing > 0 && !n.out.is_empty());
                 // Where the node is predicted busy, with others' work too, background work would only wait
-                // there, before tight aims. This covers jams, slow nodes and surges alike, and is what keeps
-                // hundreds of gateways from sending one each; it hurts where background earns as much.
-                let queued = part < 1.0
-                    && self.closed_form(now, node, n.out_units + h.units)
-                        > BACKGROUND_AIM_PART * self.tightest as f64;
-                let full = full || queued;
+                // there, before tight aims; it hurts where background earns as much.
+                let busy = BACKGROUND_AIM_PART * self.tightest as f64;
+                let full = full || part < 1.0 && self.closed_form(now, node, n.out_units + h.units) > busy;
                 if n.rest_until > now || (full && part == 1.0) {
                     return;
                 }
@@ -561,29 +552,20 @@
         // Rule 6: further attempts within their budget.
         let further = !h.tries.is_empty();
         if further && let Some(b) = self.s.rules.attempt_budget {
-            let within = self.extra.iter().filter(|t| **t + b.window >= now).count() as f64 + 1.0;
+            self.extra.retain(|t| t + b.window >= now);
             let taken = self.taken.iter().filter(|t| **t + b.window > now).count() as f64;
-            if within > b.free + b.ratio * taken {
+            if self.extra.len() as f64 + 1.0 > b.free + b.ratio * taken {
                 return false;
             }
+            self.extra.push_back(now);
         }
         // Rule 7: this gateway's part of the volume's limit.
-        let (volume, plan, units, gateways) = (h.volume, h.plan, h.units, h.gateways);
-        if let (false, Some(limit)) = (further, plan.and_then(|p| self.s.plans[p.0 as usize].limit)) {
-            let (left, at) = self.limits.get(&volume).copied().unwrap_or((0.0, now));
-            let filled = now.saturating_sub(at) as f64 / 1e6 * limit.rate / gateways;
-            let left = (left + filled).min(limit.burst / gateways);
-            let fits = left - units >= -limit.slack / gateways;
-            self.limits.insert(volume, (if fits { left - units } else { left }, now));
-            if !fits {
+        let (volume, units) = (h.volume, h.units);
+        if let (false, Some((left, lacking, _))) = (further, self.limit(now, h)) {
+            if lacking > 0.0 {
                 return false;
             }
-        }
-        if further && let Some(b) = self.s.rules.attempt_budget {
-            self.extra.push_back(now);
-            while self.extra.front().is_some_and(|t| t + b.window < now) {
-                self.extra.pop_front();
-            }
+            self.limits.insert(volume, (left - units, now));
         }
         let cold = self.is_cold(now, node);
         let predicted = self.closed_form(now, node, self.nodes[&node].out_units + units);
@@ -600,6 +582,16 @@
         true
     }
 
+    /// This gateway's part of what its volume's limit has left, what a request lacks of it, and for how long.
+    fn limit(&self, now: Micros, h: &Held) -> Option<(f64, f64, Micros)> {
+        let l = self.s.plans[h.plan?.0 as usize].limit?;
+        let (left, at) = self.limits.get(&h.volume).copied().unwrap_or((0.0, self.born.unwrap_or(now)));
+        let filled = now.saturating_sub(at) as f64 / 1e6 * l.rate / h.gateways;
+        let left = (left + filled).min(l.burst / h.gateways);
+        let lacking = h.units - left - l.slack / h.gateways;
+        Some((left, lacking, (lacking.max(0.0) / l.rate * h.gateways * 1e6) as Micros))
+    }
+
     fn may_repeat(&self, now: Micros, h: &Held, node: NodeId) -> bool {
         if h.tries.iter().any(|t| t.ran == Ran::Out) {
             return false;
@@ -676,17 +668,8 @@
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn outcome(
-        &mut self,
-        now: Micros,
-        id: RequestId,
-        attempt: Attempt,
-        outcome: Outcome,
-        took: Micros,
-        over: bool,
-        act: &mut Vec<Action>,
-    ) {
+    fn outcome(&mut self, now: Micros, id: RequestId, end: End, act: &mut Vec<Action>) {
+        let (attempt, outcome, took, over) = end;
         let Some(h) = self.requests.get_mut(&id) else { return };
         let Some(t) = h.tries.get_mut(attempt.0 as usize).filter(|t| t.ran == Ran::Out) else { return };
         let never = matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::NotSent);
@@ -739,12 +722,10 @@
             }
             if outcome == Outcome::Served {
                 n.failing = 0;
-            } else if matches!(outcome, Outcome::Full | Outcome::Unreachable) {
+            } else if matches!(outcome, Outcome::Full | Outcome::Unreachable) && now >= n.rest_until {
                 // Several sent at once and turned away together count once.
-                if now >= n.rest_until {
-                    n.rest_until = now + (REST << n.failing.min(16)).min(LONGEST_REST);
-                    n.failing += 1;
-                }
+                n.rest_until = now + (REST << n.failing.min(16)).min(LONGEST_REST);
+                n.failing += 1;
             }
         }
         if over || outcome == Outcome::Served {
@@ -752,12 +733,12 @@
         } else {
             let h = &self.requests[&id];
             let spent = h.tries.len() as u32 >= self.s.rules.attempts || outcome == Outcome::TimedOut;
-            if !h.over && !h.started && !h.waiting {
-                if spent || now + ANSWER_EARLY >= h.deadline || !self.may_repeat(now, h, node) {
-                    self.answer(now, id, act);
-                } else {
-                    self.hold(now, id, false);
-                }
+            let spent = spent || now + ANSWER_EARLY >= h.deadline || !self.may_repeat(now, h, node);
+            let settled = h.over || h.started || h.waiting;
+            if spent && !settled {
+                self.answer(now, id, act);
+            } else if !settled {
+                self.hold(now, id, false);
             }
         }
         self.drop_if_done(id);
@@ -769,7 +750,7 @@
     // ---- ends ----
 
     /// The one way to a final answer of this gateway's: a refusal where the class allows it, else a failure.
-    fn answer(&mut self, _now: Micros, id: RequestId, act: &mut Vec<Action>) {
+    fn answer(&mut self, now: Micros, id: RequestId, act: &mut Vec<Action>) {
         let Some(h) = self.requests.get(&id).filter(|h| !h.over) else { return };
         let harmless = h.tries.iter().all(|t| t.ran == Ran::Never)
             || match self.s.classes[h.class].repeat {
@@ -777,10 +758,28 @@
                 Repeat::Keyed { group, .. } => group == Group::All,
                 Repeat::Once => false,
             };
-        act.push(if harmless { Action::Refuse { id, wait: 0 } } else { Action::Fail { id } });
+        act.push(if harmless {
+            Action::Refuse { id, wait: self.advice(now, h) }
+        } else {
+            Action::Fail { id }
+        });
         self.end(id);
     }
 
+    /// When to come back: the limit has room, and the node takes requests and is predicted to meet the aim.
+    fn advice(&self, now: Micros, h: &Held) -> Micros {
+        let fill = self.limit(now, h).map_or(0, |(.., fill)| fill);
+        let node = h.shard.and_then(|s| Some((self.node_of(s)?, self.lanes.get(&s)?)));
+        let busy = node.map_or(Micros::MAX, |(node, lane)| {
+            let n = &self.nodes[&node];
+            let held: f64 = lane.queue.iter().map(|q| self.requests[q].units).sum();
+            let done = self.service(now, node, h.class, n.out_units + held + h.units);
+            let late = done.saturating_sub(self.s.classes[h.class].aim);
+            late.max(n.rest_until.max(self.cold_until(now, node, h.units)).saturating_sub(now))
+        });
+        fill.max(busy).max(SHORTEST_ADVICE).min(self.s.longest_advice)
+    }
+
     fn end(&mut self, id: RequestId) {
         let Some(h) = self.requests.get_mut(&id) else { return };
         h.over = true;
@@ -809,12 +808,18 @@
     // ---- time ----
 
     fn tick(&mut self, now: Micros, act: &mut Vec<Action>) {
-        while let Some(&(deadline, id)) = self.deadlines.first() {
-            if deadline > now + ANSWER_EARLY {
-                break;
-            }
+        while let Some(&(deadline, id)) = self.deadlines.first()
+            && deadline <= now + ANSWER_EARLY
+        {
             self.answer(now, id, act);
         }
+        // Given up at once: what missed its aim unsent, and background work that its limit keeps too long.
+        let kept = |h: &Held| self.limit(now, h).is_some_and(|(.., fill)| now + fill >= h.deadline);
+        let patient = |h: &Held| self.background[h.class] || self.s.classes[h.class].in_order;
+        let late = |h: &Held| kept(h) || !patient(h) && h.aim < now;
+        let lost = |(_, h): &(_, &Held)| h.waiting && h.tries.is_empty() && late(h);
+        let lost: Vec<_> = self.requests.iter().filter(lost).map(|(id, _)| *id).collect();
+        lost.into_iter().for_each(|id| self.answer(now, id, act));
         for id in std::mem::take(&mut self.homeless) {
             self.hold(now, id, false);
         }
@@ -862,18 +867,16 @@
     }
 
     fn list(&mut self, now: Micros, kind: ListKind, entries: &[Entry], act: &mut Vec<Action>) {
-        match kind {
-            ListKind::Failed => {
-                let wait = self.ask_wait as f64 * (0.5 + self.rand());
-                (self.asked, self.watching, self.ask_at) = (false, false, now + wait as Micros);
-                self.ask_wait = (self.ask_wait * 2).min((self.s.rules.ask_within / 4).max(ASK_AGAIN));
-                return;
-            }
-            ListKind::Remembered => {}
-            ListKind::Changes | ListKind::Full => {
-                self.watching |= self.asked;
-                (self.asked, self.ask_wait) = (false, ASK_AGAIN);
-            }
+        if kind == ListKind::Failed {
+            let wait = self.ask_wait.max(ASK_AGAIN);
+            let shaded = (wait as f64 * (0.5 + self.rand())) as Micros;
+            (self.asked, self.watching, self.ask_at) = (false, false, now + shaded);
+            self.ask_wait = (wait * 2).min((self.s.rules.ask_within / 4).max(ASK_AGAIN));
+            return;
+        }
+        if kind != ListKind::Remembered {
+            self.watching |= self.asked;
+            (self.asked, self.ask_wait) = (false, ASK_AGAIN);
         }
         if kind != ListKind::Changes {
             for (id, n) in self.nodes.iter_mut() {
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -260,3 +260,31 @@
     };
     assert!(refused(40 * MS) > refused(10 * MS));
 }
+
+// A volume beyond its limit used to be held until its client gave up; no answer until then told it to slow down.
+#[test]
+fn what_the_limit_keeps_beyond_its_aim_is_given_up_at_once_with_advice() {
+    let mut s = settings();
+    s.longest_advice = 500 * MS;
+    let mut b = Bench::new(s, &[entry(0, 0)]);
+    let limited = |id| Request { plan: Some(PlanId(1)), units: 4.0, ..request(id, READ) };
+    b.pass(5 * SECOND);
+    let mut actions = Vec::new();
+    for id in 0..12 {
+        actions.extend(b.take(limited(id)));
+        actions.extend(b.served(id, MS));
+    }
+    let refused = |actions: &[Action]| -> Vec<(u64, Micros)> {
+        let refusal = |a: &Action| match a {
+            Action::Refuse { id, wait } => Some((id.0, *wait)),
+            _ => None,
+        };
+        actions.iter().filter_map(refusal).collect()
+    };
+    assert_eq!(sends(&actions).len(), 5, "the burst and the slack");
+    actions.clear();
+    actions.extend(b.pass(120 * MS));
+    let refused = refused(&actions);
+    assert!(!refused.is_empty(), "the aim of 100 ms has passed");
+    assert!(refused.iter().all(|(_, wait)| *wait > 0 && *wait <= 500 * MS), "{refused:?}");
+}
