--- a/src/load/access_log.rs
+++ b/src/load/access_log.rs
@@ -55,7 +55,7 @@
     let mut words = request.split_ascii_whitespace();
     let (method, target) = match (words.next(), words.next(), words.next(), words.next()) {
         (Some(method), Some(target), Some(version), None) if version.starts_with("HTTP/") => (method, target),
-        _ => return Err(format!("request: {request:?} is none")),
+        _ => return Err(format!("request: {request:?} is not one")),
     };
     let status = next("status")?;
     let size = next("size")?;
@@ -64,12 +64,12 @@
         at_ms: at.as_millisecond(),
         method: method.to_string(),
         path: target.split(['?', '#']).next().unwrap_or(target).to_string(),
-        status: status.parse().map_err(|_| format!("status: {status:?} is none"))?,
+        status: status.parse().map_err(|_| format!("status: {status:?} is not one"))?,
         sent: 0,
         received: if size == "-" {
             0
         } else {
-            size.parse().map_err(|_| format!("size: {size:?} is none"))?
+            size.parse().map_err(|_| format!("size: {size:?} is not one"))?
         },
         took_ms: took.and_then(milliseconds),
     })
--- a/src/load/har.rs
+++ b/src/load/har.rs
@@ -66,7 +66,7 @@
         path: path(&entry.request.url)
             .ok_or_else(|| format!("request.url: {:?} has no path", entry.request.url))?,
         status: u16::try_from(entry.response.status)
-            .map_err(|_| format!("response.status: {} is none", entry.response.status))?,
+            .map_err(|_| format!("response.status: {} is not one", entry.response.status))?,
         sent: size(entry.request.body_size).unwrap_or(0),
         received: received.unwrap_or(0),
         took_ms: entry.time.filter(|t| t.is_finite() && *t >= 0.0),
--- a/src/net/http/discovery.rs
+++ b/src/net/http/discovery.rs
@@ -11,8 +11,13 @@
 
 /// How long a watch waits for news. Longer ones cost discovery less, and tell later that it has fallen silent.
 const HOLD: Duration = Duration::from_secs(10);
+/// A watch that does not wait.
+const AT_ONCE: Duration = Duration::from_millis(1);
 /// An answer later than this past its wait is a failed call: what it would tell counts as told by then.
 const PATIENCE: Duration = Duration::from_millis(1_800);
+/// The same for a call that does not wait. Calls are served one after another, and giving up early on a busy
+/// discovery would only add to its queue.
+const PATIENCE_AT_ONCE: Duration = Duration::from_millis(5_000);
 /// A connection may take this long to come up at least, and stand idle this long.
 const CONNECT: Duration = Duration::from_millis(500);
 const IDLE: Duration = Duration::from_secs(5);
@@ -103,7 +108,7 @@
                 ListMessage::Watch => {
                     // The first call only sets the watch up and brings what was missed; it does not wait, so
                     // that the core soon knows that it is told again.
-                    let mut hold = Duration::from_millis(1);
+                    let mut hold = AT_ONCE;
                     while self.call(hold).await {
                         hold = HOLD;
                     }
@@ -114,7 +119,8 @@
 
     /// One call, and its news to the core. False: it failed.
     async fn call(&mut self, hold: Duration) -> bool {
-        let news = tokio::time::timeout(hold + PATIENCE, self.get(hold)).await;
+        let patience = if hold > AT_ONCE { hold + PATIENCE } else { PATIENCE_AT_ONCE };
+        let news = tokio::time::timeout(patience, self.get(hold)).await;
         let (ok, kind, entries) = match news {
             Ok(Ok(page)) => {
                 self.version = Some(page.version);
--- a/src/net/http/message.rs
+++ b/src/net/http/message.rs
@@ -94,7 +94,7 @@
 /// The final answer to a client.
 pub fn encode(answer: Answer) -> Response<Bytes> {
     match answer {
-        Answer::Served(body) => Response::build(StatusCode::OK).message_body(body).expect("no headers"),
+        Answer::Served(body) => Response::with_body(StatusCode::OK, body),
         Answer::Refused { wait } => {
             let mut response = status(StatusCode::SERVICE_UNAVAILABLE);
             if !wait.is_zero() {
--- /dev/null
+++ b/tests/configuration.rs
@@ -0,0 +1,57 @@
+//! Configuration: what is told, and the key that an error names.
+
+use rowanglade::config::Config;
+use rowanglade::node;
+use std::path::PathBuf;
+
+const EXAMPLE: &str = include_str!("../deploy/example.json");
+const OPERATOR: &str = include_str!("../deploy/iscsi.toml");
+
+/// Loads these texts, with these variables beside; the error's words where they cannot be used.
+fn load(json: &str, operator: &str, variables: &[(&str, &str)]) -> Result<Config, String> {
+    let unique = format!("rowanglade-{}-{:?}", std::process::id(), std::thread::current().id());
+    let dir: PathBuf = std::env::temp_dir().join(unique);
+    std::fs::create_dir_all(&dir).expect("a folder");
+    let (config, toml) = (dir.join("config.json"), dir.join("operator.toml"));
+    std::fs::write(&config, json).expect("written");
+    std::fs::write(&toml, operator).expect("written");
+    let env = |name: &str| match name {
+        "LB_CONFIG" => Some(config.display().to_string()),
+        _ => variables.iter().find(|(n, _)| *n == name).map(|(_, v)| v.to_string()),
+    };
+    let loaded = Config::load(env, Some(&toml)).and_then(|c| node::check(&c).map(|()| c));
+    std::fs::remove_dir_all(&dir).expect("removed");
+    loaded.map_err(|e| e.to_string())
+}
+
+#[test]
+fn the_files_under_deploy_can_be_used_and_variables_win() {
+    let config = load(EXAMPLE, OPERATOR, &[("LB_LISTEN", "127.0.0.1:9")]).expect("usable");
+    insta::assert_snapshot!(config, @r"
+    name n1  listen 127.0.0.1:9  discovery none
+    classes view deposit  plans basic full
+    iSCSI-style front: iqn.2026-12.example.kingston:rowanglade on 127.0.0.1:3260, 1 LUNs, 1 targets
+    ");
+    assert!(load(EXAMPLE, "", &[]).expect("usable").iscsi.is_none(), "without a table the front is off");
+}
+
+#[test]
+fn an_error_names_the_key() {
+    let json = |from: &str, to: &str| load(&EXAMPLE.replacen(from, to, 1), OPERATOR, &[]).expect_err(to);
+    let toml = |from: &str, to: &str| load(EXAMPLE, &OPERATOR.replacen(from, to, 1), &[]).expect_err(to);
+    for (error, key) in [
+        (json("127.0.0.1:7070", "here"), "listen"),
+        (json("\"seed\": \"", "\"seed\": \"x"), "seed"),
+        (json("\"max-attempts\": 3", "\"max-attempts\": 0"), "attempts"),
+        (json("\"nominal\": 4.0", "\"nominal\": -1"), "plans[0].nominal"),
+        (json("\"by_key\"", "\"often\""), "grades[1].idempotency"),
+        (json("\"hard-limit\"", "\"soft-limit\""), "hard-limit"),
+        (toml("\"basic\"", "\"gold\""), "iscsi.volume[0].plan"),
+        (toml("00000003b4d60021", "zz"), "iscsi.volume[0].lun"),
+        (toml("blocks_per_unit = 8", "blocks_per_unit = 0"), "iscsi.blocks_per_unit"),
+        (toml("silence_ms", "silence"), "silence"),
+        (load(EXAMPLE, OPERATOR, &[("LB_DISCOVERY", "x")]).expect_err("x"), "LB_DISCOVERY"),
+    ] {
+        assert!(error.contains(key), "{error:?} does not name {key}");
+    }
+}
--- a/tests/network/site.rs
+++ b/tests/network/site.rs
@@ -15,15 +15,8 @@
     actix_rt::System::new().block_on(async { tokio::time::timeout(limit, future).await }).expect("it ends");
 }
 
-const SETTINGS: &str = r#"{"azs":["kingston"],"ceilings":{"cancel":true,"conn-idle":30000000,"connect-timeout":250000,
-"max-attempts":3,"max-retry-after":500000,"retry-after":true,"second-copies":true},"discovery":"on_request",
-"family-info":{"cold-units":51.0,"usual-units":2.0,"writes":[false,true]},
-"grades":[{"group":"all","hard-limit":1500000,"idempotency":"repeatable","memory-span":5000000,"name":"view",
-"promise":300000,"worth":2.0},{"group":"cell","hard-limit":3000000,"idempotency":"by_key","memory-span":3000000,
-"name":"deposit","promise":400000,"worth":2.0}],
-"policies":[{"name":"full","floor-rate":8.0,"nominal":8.0,"never-over":0.0,"weight":2.0}],
-"report":{"fields":["depth"]},"rules":{"cold-from":0.28,"drain-grace":1000000,"fall-multiple":2.5,
-"must-ask-in":10000000,"tip-after":3000000,"warm-within":15000000},"siblings":1}"#;
+/// The configuration that an operator starts from.
+const EXAMPLE: &str = include_str!("../../deploy/example.json");
 
 /// One target of a list.
 pub fn line(addr: SocketAddr, shard: u32, state: &str) -> String {
@@ -35,10 +28,10 @@
 /// Starts an initiator that remembers these targets; it ends when the sender is used or dropped.
 pub async fn start(lines: &[String], discovery: Option<SocketAddr>, iscsi: Option<&str>) -> Running {
     let known = format!(r#"{{"version":1,"full":true,"servers":[{}]}}"#, lines.join(","));
-    let discovery = discovery.map_or(String::new(), |a| format!(r#""discovery":"{a}","#));
-    let json = format!(
-        r#"{{"name":"n1","listen":"127.0.0.1:0","seed":"5",{discovery}"known":{known},"settings":{SETTINGS}}}"#
-    );
+    let mut json: serde_json::Value = serde_json::from_str(EXAMPLE).expect("JSON");
+    json["listen"] = "127.0.0.1:0".into();
+    json["discovery"] = discovery.map(|a| a.to_string()).into();
+    json["known"] = serde_json::from_str(&known).expect("JSON");
     let dir = std::env::temp_dir().join(format!(
         "rowanglade-{}-{:?}",
         std::process::id(),
@@ -46,7 +39,7 @@
     ));
     std::fs::create_dir_all(&dir).expect("a folder");
     let (config, operator) = (dir.join("config.json"), dir.join("operator.toml"));
-    std::fs::write(&config, json).expect("written");
+    std::fs::write(&config, json.to_string()).expect("written");
     std::fs::write(&operator, iscsi.unwrap_or_default()).expect("written");
     let env = |name: &str| (name == "LB_CONFIG").then(|| config.display().to_string());
     let config = Config::load(env, Some(&operator)).expect("usable");
