Do not wait again and again for a time that has passed when no target is known

The time is now looked at once. The test without_a_target hangs without the guard (checked by putting the old line back) and passes with it. Two more tests of the core: a target that takes nothing, and an attempt dropped untold.

--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -63,6 +63,8 @@
     /// Events that an action brought about at once; they come after the present one.
     next: VecDeque<Event>,
     ready: watch::Sender<bool>,
+    /// Discovery has had its time: what is remembered of the list must do.
+    trusting: bool,
     open: Rc<Cell<usize>>,
 }
 
@@ -90,23 +92,23 @@
             timers: BinaryHeap::new(),
             next: VecDeque::new(),
             ready,
+            trusting: false,
             open,
         }
     }
 
     /// Runs until every [`Handle`] is gone.
     pub async fn run(mut self) {
-        let trust = self.clock.instant(self.clock.now()) + TRUST_MEMORY;
+        let trust = self.clock.now() + micros(TRUST_MEMORY);
         loop {
             let timer = self.timers.peek().map(|Reverse((at, _))| *at);
             let backstop = self.backstops.first().map(|(at, _)| *at);
-            let mut until = timer.into_iter().chain(backstop).min().map(|at| self.clock.instant(at));
-            if !*self.ready.borrow() {
-                until = Some(until.map_or(trust, |at| at.min(trust)));
-            }
+            let trust_at = (!self.trusting).then_some(trust);
+            let until = [timer, backstop, trust_at].into_iter().flatten().min();
+            let clock = self.clock;
             let pause = async {
                 match until {
-                    Some(at) => tokio::time::sleep_until(at).await,
+                    Some(at) => tokio::time::sleep_until(clock.instant(at)).await,
                     None => std::future::pending().await,
                 }
             };
@@ -117,7 +119,9 @@
                 },
                 () = pause => {}
             }
-            if !*self.ready.borrow() && tokio::time::Instant::now() >= trust {
+            if !self.trusting && self.clock.now() >= trust {
+                // Once, whether or not there is a target: a time that has passed must not be waited for again.
+                self.trusting = true;
                 self.make_ready();
             }
             self.due();
@@ -240,7 +244,7 @@
         }
         self.feed(Event::List { kind, entries: lines });
         self.targets.retain(|_, t| t.line.state != NodeState::Gone);
-        if matches!(kind, ListKind::Full | ListKind::Changes) {
+        if self.trusting || matches!(kind, ListKind::Full | ListKind::Changes) {
             self.make_ready();
         }
     }
@@ -368,3 +372,117 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::core::{Handle, mailbox};
+    use crate::settings::Settings;
+    use bytes::Bytes;
+    use std::net::{Ipv4Addr, SocketAddr};
+
+    const EXAMPLE: &str = include_str!("../../deploy/example.json");
+
+    /// Runs a story beside a core whose targets are made by `connect`. Time is the test's own: it passes when
+    /// nothing is left to do, so a core that spins hangs, which the watchdog tells.
+    fn story<F: Future<Output = ()>>(
+        connect: fn() -> Connect,
+        with: impl FnOnce(Handle) -> F + Send + 'static,
+    ) {
+        let (done, finished) = std::sync::mpsc::channel();
+        std::thread::spawn(move || {
+            let example: serde_json::Value = serde_json::from_str(EXAMPLE).expect("JSON");
+            let settings: Settings = serde_json::from_value(example["settings"].clone()).expect("settings");
+            let mut names = Names::default();
+            let gateway = Gateway::new(settings.translate(&mut names).expect("usable"), 1).expect("usable");
+            let mut runtime = tokio::runtime::Builder::new_current_thread();
+            let runtime = runtime.enable_time().start_paused(true).build().expect("a runtime");
+            tokio::task::LocalSet::new().block_on(&runtime, async {
+                let (inbox, handle) = mailbox();
+                let (list, _calls) = mpsc::channel(4);
+                let core = Core::new(gateway, names, Clock::start(), inbox, list, connect());
+                tokio::select! {
+                    () = core.run() => panic!("the core ended"),
+                    () = with(handle) => {}
+                }
+            });
+            let _ = done.send(());
+        });
+        finished.recv_timeout(Duration::from_secs(10)).expect("the story ends");
+    }
+
+    fn order() -> Order {
+        Order {
+            id: "a".into(),
+            class: "view".into(),
+            plan: None,
+            write: false,
+            volume: 1,
+            piece: 2,
+            locator: "/view/1/2".into(),
+            repeat_key: None,
+            units: 1.0,
+            shard: Some(0),
+            hosts: 1,
+            length: 0,
+            body: Bytes::new(),
+            time_left: Duration::from_millis(1_000),
+        }
+    }
+
+    async fn list(core: &Handle) {
+        let entries = vec![Listed {
+            name: "s".into(),
+            wire: Wire::Http,
+            addr: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+            zone: "kingston".into(),
+            shard: 0,
+            state: NodeState::In,
+            started: None,
+        }];
+        core.tell(Message::List { wire: Wire::Http, kind: ListKind::Remembered, entries }).await;
+    }
+
+    /// Targets whose actors have ended.
+    fn dead() -> Connect {
+        Box::new(|_| mpsc::channel(1).0)
+    }
+
+    // A core without any target waited again and again for a time that had passed, and took the whole processor.
+    #[test]
+    fn without_a_target_it_is_not_ready_and_does_not_spin() {
+        story(dead, async |core| {
+            tokio::time::sleep(Duration::from_secs(60)).await;
+            assert!(!core.ready());
+            list(&core).await;
+            core.readiness().wait_for(|ready| *ready).await.expect("it runs");
+        });
+    }
+
+    #[test]
+    fn a_target_that_takes_nothing_leaves_no_request_without_its_answer() {
+        story(dead, async |core| {
+            list(&core).await;
+            let answer = core.submit(order()).await.answer().await;
+            assert!(matches!(answer, Answer::Refused { wait } if !wait.is_zero()), "{answer:?}");
+            assert_eq!(core.open(), 0);
+        });
+    }
+
+    // An attempt whose actor drops it untold may have run: a keyed write must not be refused as harmless.
+    #[test]
+    fn an_attempt_dropped_untold_counts_as_broken() {
+        let drops = || -> Connect {
+            Box::new(|_| {
+                let (tx, mut rx) = mpsc::channel(8);
+                tokio::task::spawn_local(async move { while rx.recv().await.is_some() {} });
+                tx
+            })
+        };
+        story(drops, async |core| {
+            list(&core).await;
+            let write = Order { class: "deposit".into(), write: true, ..order() };
+            assert_eq!(core.submit(write).await.answer().await, Answer::Failed);
+        });
+    }
+}
