Count StatSN as RFC 7143 does, and send nothing for a request given up while logging in

Found by reading src/net/iscsi/session.rs: the expected StatSN followed data without a status and R2Ts, which only name the next number; and an attempt cancelled while its session came up was still sent.

--- a/src/net/iscsi/session.rs
+++ b/src/net/iscsi/session.rs
@@ -16,7 +16,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
 const MAILBOX: usize = 256;
@@ -278,7 +278,12 @@
     }
 
     async fn command(&mut self, attempt: Attempt) -> io::Result<()> {
-        let Attempt { order, until, cancel, report } = attempt;
+        let Attempt { order, until, mut cancel, report } = attempt;
+        if cancel.try_recv() != Err(oneshot::error::TryRecvError::Empty) {
+            // Given up while the session came up: nothing is sent for a request that is over.
+            report.tell(Reply::bare(Outcome::NotSent));
+            return Ok(());
+        }
         let group = self.figures.classes.iter().position(|c| *c == order.class);
         let in_window = self.max_cmd_sn.wrapping_sub(self.cmd_sn) as i32 >= 0;
         let (Some(group), true, false) = (group, in_window && until > Instant::now(), self.leaving) else {
@@ -363,15 +368,11 @@
     }
 
     async fn hear(&mut self, pdu: Pdu) -> io::Result<()> {
-        if let Pdu::NopIn { seq, .. }
-        | Pdu::ScsiResponse { seq, .. }
-        | Pdu::TaskResponse { seq, .. }
-        | Pdu::DataIn { seq, .. }
-        | Pdu::R2t { seq, .. }
-        | Pdu::Async { seq, .. } = &pdu
-        {
+        if let Some((seq, counts)) = pdu.sequence() {
             self.max_cmd_sn = seq.max_cmd_sn;
-            self.exp_stat_sn = seq.stat_sn.wrapping_add(1);
+            if counts {
+                self.exp_stat_sn = seq.stat_sn.wrapping_add(1);
+            }
         }
         match pdu {
             Pdu::NopIn { lun, ttt, data, .. } if ttt != NO_TAG => {
