Pass over log lines without a request, and shed idle client connections when there are many

An access log holds a line with a request of "-" for every connection that timed out unused; such a file was refused at that line. It offers no load and is passed over (src/load/access_log.rs). Above 600 client connections each answer closes its own: nothing kept descriptors free for targets.

--- a/src/load/access_log.rs
+++ b/src/load/access_log.rs
@@ -5,7 +5,7 @@
 use crate::load::{LoadError, Offer};
 use jiff::fmt::strtime;
 
-/// Empty lines and comments are passed over.
+/// Empty lines and comments are passed over, and lines of connections that never made a request.
 pub fn read(bytes: &[u8]) -> Result<Vec<Offer>, LoadError> {
     let lines = bytes.split(|b| *b == b'\n').enumerate();
     let offers = lines.filter_map(|(i, line)| {
@@ -14,7 +14,10 @@
             Ok(line) => line.trim(),
             Err(_) => return Some(Err(at("is not UTF-8"))),
         };
-        (!line.is_empty() && !line.starts_with('#')).then(|| offer(line).map_err(|problem| at(&problem)))
+        if line.is_empty() || line.starts_with('#') {
+            return None;
+        }
+        offer(line).map_err(|problem| at(&problem)).transpose()
     });
     offers.collect()
 }
@@ -43,7 +46,7 @@
     Some(&body[..end])
 }
 
-fn offer(line: &str) -> Result<Offer, String> {
+fn offer(line: &str) -> Result<Option<Offer>, String> {
     let mut rest = line;
     let mut next = |name: &str| field(&mut rest).ok_or_else(|| format!("{name}: is missing"));
     let (_host, _identity, _user) = (next("host")?, next("identity")?, next("user")?);
@@ -52,6 +55,9 @@
         .and_then(|t| t.to_timestamp())
         .map_err(|e| format!("time: {time:?}: {e}"))?;
     let request = next("request")?;
+    if request == "-" {
+        return Ok(None);
+    }
     let mut words = request.split_ascii_whitespace();
     let (method, target) = match (words.next(), words.next(), words.next(), words.next()) {
         (Some(method), Some(target), Some(version), None) if version.starts_with("HTTP/") => (method, target),
@@ -60,7 +66,7 @@
     let status = next("status")?;
     let size = next("size")?;
     let took = [next("referer"), next("agent"), next("time taken")].into_iter().flatten().last();
-    Ok(Offer {
+    Ok(Some(Offer {
         at_ms: at.as_millisecond(),
         method: method.to_string(),
         path: target.split(['?', '#']).next().unwrap_or(target).to_string(),
@@ -72,7 +78,7 @@
             size.parse().map_err(|_| format!("size: {size:?} is not one"))?
         },
         took_ms: took.and_then(milliseconds),
-    })
+    }))
 }
 
 fn milliseconds(text: &str) -> Option<f64> {
--- a/src/net/http/server.rs
+++ b/src/net/http/server.rs
@@ -19,6 +19,9 @@
 /// After an answer that comes before the whole of its request, the rest is read away this long: a reset
 /// would take the answer with it.
 const LINGER: Duration = Duration::from_secs(1);
+/// Beyond this many open connections every answer closes its own, so that idle ones do not use up the
+/// descriptors that targets need. The platform allows 1,024 in all.
+const MANY: usize = 600;
 /// Wait after an accept that failed, as it does while descriptors are short.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
@@ -108,7 +111,7 @@
             Err(code) => message::status(code),
         }
     };
-    if *front.ending.borrow() {
+    if *front.ending.borrow() || front.connections.get() > MANY {
         response.head_mut().set_connection_type(ConnectionType::Close);
     }
     response
