Keep sizes that no client means out of the module's arithmetic

Found by reading: units up to 1e300 and a host count of 4e9 were taken from X-Placement, and the times computed from them leave 64 bits (src/rules.rs, limit; src/net/http/message.rs, placement); a target's residual count could overflow in src/net/iscsi/session.rs, end. Such requests now get 400, the limit's time is bounded, and the sum is made in 64 bits. The story on malformed requests has both.

--- a/src/net/http/message.rs
+++ b/src/net/http/message.rs
@@ -21,6 +21,10 @@
 const ELSEWHERE: HeaderName = HeaderName::from_static("x-rho");
 const LOAD: HeaderName = HeaderName::from_static("x-backend-load");
 
+/// Far above any request's size and any fleet: what is larger would leave the range of the module's times.
+const MOST_UNITS: f64 = 1e6;
+const MOST_HOSTS: u32 = 65_536;
+
 /// What is wrong with a request, by its part.
 #[derive(Debug, PartialEq, Eq)]
 pub struct Malformed(pub &'static str);
@@ -76,9 +80,12 @@
     for (name, value) in text.split(',').filter_map(|part| part.split_once('=')) {
         let value = value.trim();
         match name.trim() {
-            "units" => units = value.parse().ok().filter(|u: &f64| u.is_finite() && *u > 0.0),
+            "units" => units = value.parse().ok().filter(|u: &f64| *u > 0.0 && *u <= MOST_UNITS),
             "shard" => shard = value.parse::<i64>().ok(),
-            "hosts" => hosts = value.parse().map_err(|_| Malformed("x-placement"))?,
+            "hosts" => {
+                let told = value.parse().ok().filter(|hosts| *hosts <= MOST_HOSTS);
+                hosts = told.ok_or(Malformed("x-placement"))?;
+            }
             _ => {}
         }
     }
--- a/src/net/iscsi/session.rs
+++ b/src/net/iscsi/session.rs
@@ -297,7 +297,7 @@
         // A request of a wire that tells no length asks for its units' blocks.
         let told = if order.write { order.body.len() as u32 } else { order.length };
         let blocks = match told {
-            0 => order.units.ceil() as u32 * self.figures.blocks_per_unit,
+            0 => (order.units.ceil() as u32).saturating_mul(self.figures.blocks_per_unit),
             bytes => bytes.div_ceil(scsi::BLOCK),
         };
         let blocks = blocks.clamp(1, LARGEST_SEGMENT as u32 / scsi::BLOCK);
@@ -438,7 +438,7 @@
             _ => 0,
         };
         // Data that the target says it sent and that did not come is not an answer.
-        let whole = task.read.len() as u32 + missing == task.expected;
+        let whole = task.read.len() as u64 + u64::from(missing) == u64::from(task.expected);
         let outcome = match status {
             scsi::GOOD if whole => Outcome::Served,
             scsi::BUSY | scsi::TASK_SET_FULL => Outcome::Full,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -589,7 +589,7 @@
         let filled = now.saturating_sub(at) as f64 / 1e6 * l.rate / h.gateways;
         let left = (left + filled).min(l.burst / h.gateways);
         let lacking = h.units - left - l.slack / h.gateways;
-        Some((left, lacking, (lacking.max(0.0) / l.rate * h.gateways * 1e6) as Micros))
+        Some((left, lacking, (lacking.max(0.0) / l.rate * h.gateways * 1e6).min(1e15) as Micros))
     }
 
     fn may_repeat(&self, now: Micros, h: &Held, node: NodeId) -> bool {
--- a/tests/network/http.rs
+++ b/tests/network/http.rs
@@ -97,6 +97,8 @@
             good.replace("GET", "POST"),
             good.replace("7f3a9c21e0b4d655", "7f3a"),
             good.replace("shard=0", "shard=x"),
+            good.replace("units=2", "units=1e300"),
+            good.replace("hosts=1", "hosts=4000000000"),
             good.replace("X-Time-Left-Ms: 1400", "X-Time-Left-Ms: soon"),
             good.replace("X-Correlation-Id: f1\r\n", ""),
             request("deposit", "f2", 0, "x").replace("Content-Length: 1", "Content-Length: 65537"),
@@ -105,7 +107,7 @@
             answers.push(ask(node.http, &bad).await);
         }
         let statuses: Vec<&str> = answers.iter().map(|a| a.split(' ').next().unwrap_or_default()).collect();
-        assert_snapshot!(statuses.join(" "), @"400 400 400 400 400 400 413 200");
+        assert_snapshot!(statuses.join(" "), @"400 400 400 400 400 400 400 400 413 200");
     });
 }
 
