Read the configuration again at SIGHUP and turn to the discovery it names

Checked: nothing in src/node.rs handled the signal; Directory::run held one address for life, and its watch would have sat out its 10 s at the old one; Config::load lets LB_DISCOVERY win, which is stale after a move. Now SIGHUP has the file read again. One that cannot be used is named in the log and changes nothing. The list's actor drops the watch under way, or a wait after a failure, and asks the new address for the whole list.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,6 +1,6 @@
 //! The command line.
 
-use crate::config::Config;
+use crate::config::{Config, Reload};
 use crate::{load, node};
 use lexopt::prelude::*;
 use std::ffi::OsString;
@@ -17,6 +17,7 @@
        rowanglade help
 
 The configuration comes from LB_CONFIG, a JSON file; LB_NAME, LB_LISTEN and LB_DISCOVERY win over it.
+SIGHUP has the file read again: its discovery address is taken over, all else waits for the next start.
 An operator's file (TOML) sets up the iSCSI-style front; without one that front is off.
 LOG sets the least level of log lines: error, warn, info, debug or trace.
 Exit codes: 0 done; 1 it failed while running; 2 wrong usage, configuration or file.
@@ -80,13 +81,14 @@
             Err(error) => return fail(2, &error),
         },
         Command::Serve { operator } => {
-            let config = match config(operator) {
+            let config = match config(operator.clone()) {
                 Ok(config) => config,
                 Err(error) => return fail(2, &error),
             };
             start_log();
             // The runtime of the HTTP libraries: one thread.
-            match actix_rt::System::new().block_on(node::serve(config)) {
+            let reload = move || Reload::load(|name| std::env::var(name).ok(), operator.as_deref());
+            match actix_rt::System::new().block_on(node::serve(config, reload)) {
                 Ok(()) => {}
                 Err(error @ node::Error::Config(_)) => return fail(2, &error),
                 Err(error) => return fail(1, &error),
--- a/src/config.rs
+++ b/src/config.rs
@@ -112,6 +112,25 @@
     }
 }
 
+/// What a running program takes over from a file that was replaced; all else waits for its next start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reload {
+    pub discovery: Option<SocketAddr>,
+}
+
+impl Reload {
+    /// Reads the file again. Its address of discovery wins here: the variable tells what held at the start.
+    pub fn load(
+        env: impl Fn(&str) -> Option<String>,
+        operator: Option<&Path>,
+    ) -> Result<Reload, ConfigError> {
+        let at_start = |name: &str| env(name).filter(|_| name != "LB_DISCOVERY");
+        let config = Config::load(at_start, operator)?;
+        crate::node::check(&config)?;
+        Ok(Reload { discovery: config.discovery })
+    }
+}
+
 impl fmt::Display for Config {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let classes: Vec<&str> = self.settings.classes().map(|(name, _)| name).collect();
--- a/src/net/http/discovery.rs
+++ b/src/net/http/discovery.rs
@@ -7,7 +7,7 @@
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 /// How long a watch waits for news. Longer ones cost discovery less, and tell later that it has fallen silent.
 const HOLD: Duration = Duration::from_secs(10);
@@ -82,43 +82,92 @@
     }
 }
 
+/// Where discovery is; absent: there is none.
+pub type Address = Option<SocketAddr>;
+
+/// Resolves with the next change. Where nobody is left to change it, that is never.
+async fn changed(addr: &mut watch::Receiver<Address>) {
+    if addr.changed().await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
 /// The actor's state.
 pub struct Directory {
-    client: Client,
-    addr: SocketAddr,
+    addr: watch::Receiver<Address>,
+    /// To the present address.
+    client: Option<(SocketAddr, Client)>,
+    connect_timeout: Duration,
     core: Handle,
     /// The newest version held; absent: none, so the whole list is asked for.
     version: Option<u64>,
 }
 
 impl Directory {
-    pub fn new(addr: SocketAddr, connect_timeout: Duration, core: Handle, version: Option<u64>) -> Directory {
-        let client = dial::client(addr, connect_timeout.max(CONNECT), IDLE);
-        Directory { client, addr, core, version }
+    pub fn new(
+        addr: watch::Receiver<Address>,
+        connect_timeout: Duration,
+        core: Handle,
+        version: Option<u64>,
+    ) -> Directory {
+        let mut directory = Directory { addr, client: None, connect_timeout, core, version };
+        directory.turn();
+        directory
+    }
+
+    /// Turns to the present address.
+    fn turn(&mut self) {
+        let addr = *self.addr.borrow_and_update();
+        let connect_timeout = self.connect_timeout.max(CONNECT);
+        self.client = addr.map(|addr| (addr, dial::client(addr, connect_timeout, IDLE)));
     }
 
     /// Runs until the core lets go of the mailbox.
     pub async fn run(mut self, mut asked: mpsc::Receiver<ListMessage>) {
-        while let Some(message) = asked.recv().await {
-            match message {
-                ListMessage::Fetch => {
-                    self.version = None;
-                    self.call(Duration::ZERO).await;
-                }
-                ListMessage::Watch => {
-                    // The first call only sets the watch up and brings what was missed; it does not wait, so
-                    // that the core soon knows that it is told again.
-                    let mut hold = AT_ONCE;
-                    while self.call(hold).await {
-                        hold = HOLD;
+        let mut addr = self.addr.clone();
+        loop {
+            // The first call only sets the watch up and brings what was missed; it does not wait, so that the
+            // core soon knows that it is told again.
+            let mut call = tokio::select! {
+                message = asked.recv() => match message {
+                    Some(ListMessage::Watch) => Some(AT_ONCE),
+                    Some(ListMessage::Fetch) => {
+                        self.version = None;
+                        self.call(Duration::ZERO).await;
+                        None
                     }
-                }
+                    None => return,
+                },
+                // Another address is asked at once, whatever wait the core is in after a failure at the old.
+                () = changed(&mut addr) => Some(self.moved()),
+            };
+            while let Some(hold) = call {
+                // A watch under way at the old address would bring no more news for as long as it holds.
+                call = tokio::select! {
+                    biased;
+                    () = changed(&mut addr) => Some(self.moved()),
+                    told = self.call(hold) => told.then_some(HOLD),
+                };
             }
         }
     }
 
+    /// Another service may count its versions in its own way, so the whole list is asked for.
+    fn moved(&mut self) -> Duration {
+        self.turn();
+        self.version = None;
+        tracing::info!(addr = ?self.client.as_ref().map(|(addr, _)| addr), "discovery has moved");
+        AT_ONCE
+    }
+
     /// One call, and its news to the core. False: it failed.
     async fn call(&mut self, hold: Duration) -> bool {
+        if self.client.is_none() {
+            // What sessions tell are all the changes there are, so the core may take itself as told.
+            let message = Message::List { wire: Wire::Http, kind: ListKind::Changes, entries: Vec::new() };
+            self.core.tell(message).await;
+            return false;
+        }
         let patience = if hold > AT_ONCE { hold + PATIENCE } else { PATIENCE_AT_ONCE };
         let news = tokio::time::timeout(patience, self.get(hold)).await;
         let (ok, kind, entries) = match news {
@@ -145,7 +194,8 @@
             Some(version) => format!("/discovery/hosts?from={version}&hold_ms={}", hold.as_millis()),
             None => "/discovery/hosts".to_string(),
         };
-        let request = self.client.get(format!("http://{}{path}", self.addr)).no_decompress();
+        let Some((addr, client)) = &self.client else { return Err("there is none".to_string()) };
+        let request = client.get(format!("http://{addr}{path}")).no_decompress();
         let mut response = request.send().await.map_err(|e| e.to_string())?;
         if response.status() != actix_http::StatusCode::OK {
             return Err(response.status().to_string());
--- a/src/net/http/mod.rs
+++ b/src/net/http/mod.rs
@@ -6,6 +6,6 @@
 mod server;
 mod target;
 
-pub use discovery::{Directory, Page, remembered};
+pub use discovery::{Address, Directory, Page, remembered};
 pub use server::{Front, serve};
 pub use target::{Pool, connect};
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,7 +1,7 @@
 //! Puts an initiator together and runs it until it is told to end.
 
-use crate::config::{Config, ConfigError, Iscsi};
-use crate::core::{self, Clock, Connect, Core, Handle, ListMessage, Listed, Message, Wire};
+use crate::config::{Config, ConfigError, Iscsi, Reload};
+use crate::core::{self, Clock, Connect, Core, Handle, Listed, Message, Wire};
 use crate::interface::{ListKind, NodeState};
 use crate::names::Names;
 use crate::net::{http, iscsi};
@@ -65,22 +65,56 @@
     decide(config).map(|_| ())
 }
 
-/// Serves until SIGTERM or SIGINT, then finishes what is held.
-pub async fn serve(config: Config) -> Result<(), Error> {
+/// Serves until SIGTERM or SIGINT, then finishes what is held. At SIGHUP it takes over what `reload` reads.
+pub async fn serve(
+    config: Config,
+    reload: impl Fn() -> Result<Reload, ConfigError> + 'static,
+) -> Result<(), Error> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    // Without a handler the signal would end the program.
+    let mut hangup = signal(SignalKind::hangup())?;
     let told = async move {
         tokio::select! {
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
         }
     };
-    Ok(Node::start(config).await?.run(told).await?)
+    let node = Node::start(config).await?;
+    let reloads = node.reloads();
+    actix_rt::spawn(async move {
+        while hangup.recv().await.is_some() {
+            match reload() {
+                Ok(reload) => reloads.take(reload),
+                // A file that cannot be used changes nothing: what was read last goes on.
+                Err(error) => tracing::error!(%error, "the configuration was not read again"),
+            }
+        }
+    });
+    Ok(node.run(told).await?)
+}
+
+/// Where a running node takes a new configuration.
+#[derive(Clone, Debug)]
+pub struct Reloads {
+    discovery: watch::Sender<http::Address>,
+}
+
+impl Reloads {
+    pub fn take(&self, reload: Reload) {
+        let moved = self.discovery.send_if_modified(|addr| {
+            let moved = *addr != reload.discovery;
+            *addr = reload.discovery;
+            moved
+        });
+        tracing::info!(moved, "the configuration was read again");
+    }
 }
 
 /// An initiator that listens.
 pub struct Node {
     core: Handle,
+    reloads: Reloads,
     http: TcpListener,
     iscsi: Option<(TcpListener, Iscsi)>,
     classes: Vec<(String, Duration)>,
@@ -114,16 +148,18 @@
         if let Some((_, iscsi)) = &iscsi {
             core.tell(portals(iscsi)).await;
         }
-        if let Some(addr) = config.discovery {
-            let directory = http::Directory::new(addr, pool.connect_timeout, core.clone(), version);
-            actix_rt::spawn(directory.run(asked));
-        } else {
-            actix_rt::spawn(nothing_changes(asked, core.clone()));
-        }
+        let (discovery, addr) = watch::channel(config.discovery);
+        let directory = http::Directory::new(addr, pool.connect_timeout, core.clone(), version);
+        actix_rt::spawn(directory.run(asked));
         tracing::info!(name = config.name, listen = %config.listen, "serving");
         let classes = classes(&config.settings);
         let patience = config.settings.longest_deadline().min(LONGEST) + AFTER - SPARE;
-        Ok(Node { core, http, iscsi, classes, patience })
+        Ok(Node { core, reloads: Reloads { discovery }, http, iscsi, classes, patience })
+    }
+
+    /// Where a new configuration is taken while it runs.
+    pub fn reloads(&self) -> Reloads {
+        self.reloads.clone()
     }
 
     /// Where clients connect.
@@ -221,10 +257,3 @@
     let entries = iscsi.targets.iter().map(line).collect();
     Message::List { wire: Wire::Iscsi, kind: ListKind::Full, entries }
 }
-
-/// Stands in for discovery where there is none: what sessions tell are all the changes there are.
-async fn nothing_changes(mut asked: mpsc::Receiver<ListMessage>, core: Handle) {
-    while asked.recv().await.is_some() {
-        core.tell(Message::List { wire: Wire::Iscsi, kind: ListKind::Changes, entries: Vec::new() }).await;
-    }
-}
--- a/tests/network/http.rs
+++ b/tests/network/http.rs
@@ -2,6 +2,7 @@
 
 use crate::site::*;
 use insta::assert_snapshot;
+use rowanglade::config::Reload;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
@@ -140,6 +141,34 @@
     });
 }
 
+// A watch at the old address would hold for 10 s and bring nothing: it is dropped, and the new service, which
+// may count its versions in its own way, is asked for the whole list.
+#[test]
+fn when_discovery_moves_the_watch_under_way_is_dropped_and_the_whole_list_asked_for() {
+    story(async {
+        let (gone, mut kept) = (peer(vec![]).await, peer(vec![ok("kept")]).await);
+        let first = ok(r#"{"version":7,"full":false,"servers":[]}"#);
+        let mut old = peer(vec![first, Step::Silence]).await;
+        let list = line(kept.addr, 0, "active").replace("s-0", "s-1");
+        let mut new =
+            peer(vec![ok(&format!(r#"{{"version":3,"full":true,"servers":[{list}]}}"#)), Step::Silence])
+                .await;
+        let node = start(&[line(gone.addr, 0, "active")], Some(old.addr), None).await;
+        let before = saw(&mut old, 2).await;
+        node.reloads.take(Reload { discovery: Some(new.addr) });
+        let (dropped, after) = (saw(&mut old, 1).await, saw(&mut new, 2).await);
+        assert_snapshot!(format!("{before}\n{dropped}\n{after}"), @r"
+        GET /discovery/hosts?from=1&hold_ms=1 HTTP/1.1
+        GET /discovery/hosts?from=7&hold_ms=10000 HTTP/1.1
+        closed
+        GET /discovery/hosts HTTP/1.1
+        GET /discovery/hosts?from=3&hold_ms=10000 HTTP/1.1
+        ");
+        assert_eq!(ask(node.http, &request("view", "m1", 0, "")).await, "200 kept");
+        saw(&mut kept, 1).await;
+    });
+}
+
 #[test]
 fn told_to_end_it_serves_what_still_comes_closes_and_ends() {
     story(async {
--- a/tests/network/site.rs
+++ b/tests/network/site.rs
@@ -1,7 +1,7 @@
 //! An initiator on loopback, and a story of what its peers saw.
 
 use rowanglade::config::Config;
-use rowanglade::node::Node;
+use rowanglade::node::{Node, Reloads};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -46,14 +46,15 @@
     std::fs::remove_dir_all(&dir).expect("removed");
     let node = Node::start(config).await.expect("it starts");
     let (http, iscsi) = (node.http_addr().expect("bound"), node.iscsi_addr().map(|a| a.expect("bound")));
-    let (end, told) = oneshot::channel();
+    let (reloads, (end, told)) = (node.reloads(), oneshot::channel());
     let run = actix_rt::spawn(node.run(async { drop(told.await) }));
-    Running { http, iscsi, end, run }
+    Running { http, iscsi, reloads, end, run }
 }
 
 pub struct Running {
     pub http: SocketAddr,
     pub iscsi: Option<SocketAddr>,
+    pub reloads: Reloads,
     pub end: oneshot::Sender<()>,
     pub run: actix_rt::task::JoinHandle<std::io::Result<()>>,
 }
