Serve on after SIGTERM until SIGKILL is near, and leave no request without an answer

Checked: clients go on with connections that stay open. Lines at fault: Node::run closed idle connections at CLOSE_IDLE and every answer carried Connection: close from the signal on. A request with a long deadline also would have been lost at the end: the loop there just stopped waiting. Now connections stay open until 0.9 s before the end; what has no answer 0.1 s before it fails.

--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -142,6 +142,14 @@
                     self.feed(Event::Withdrawn { id });
                 }
             }
+            Message::End => {
+                let open: Vec<RequestId> = self.requests.keys().copied().collect();
+                for id in open {
+                    if self.conclude(id, Some(Answer::Failed)) {
+                        self.feed(Event::Withdrawn { id });
+                    }
+                }
+            }
             Message::Ended { id, number, reply } => self.ended(id, number, reply),
             Message::Probed { node, outcome, took, load } => {
                 self.feed(Event::Probed { node, outcome, took, load });
--- a/src/core/message.rs
+++ b/src/core/message.rs
@@ -133,6 +133,8 @@
     },
     /// The client has gone.
     Gone(RequestId),
+    /// The program is about to end: whatever is open fails.
+    End,
     Ended {
         id: RequestId,
         number: Number,
--- a/src/net/http/server.rs
+++ b/src/net/http/server.rs
@@ -29,9 +29,7 @@
 #[derive(Clone)]
 pub struct Front {
     pub core: Handle,
-    /// Turns true when the program is to end: every answer from then on closes its connection.
-    pub ending: watch::Receiver<bool>,
-    /// Turns true when idle connections are to be closed.
+    /// Turns true when connections are to be closed: idle ones at once, the others with their answers.
     pub closing: watch::Receiver<bool>,
     /// Connections open now.
     pub connections: Rc<Cell<usize>>,
@@ -111,7 +109,7 @@
             Err(code) => message::status(code),
         }
     };
-    if *front.ending.borrow() || front.connections.get() > MANY {
+    if *front.closing.borrow() || front.connections.get() > MANY {
         response.head_mut().set_connection_type(ConnectionType::Close);
     }
     response
--- a/src/node.rs
+++ b/src/node.rs
@@ -16,10 +16,13 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
-/// How long after SIGTERM new connections are accepted. The platform sends them for up to 0.4 s.
-const ACCEPT_ON: Duration = Duration::from_millis(500);
-/// When idle connections are closed: later than any request that must be answered whenever it comes.
-const CLOSE_IDLE: Duration = Duration::from_millis(750);
+/// For this long after SIGTERM clients may still connect, and a request must be answered whenever it comes.
+const STILL_COME: Duration = Duration::from_millis(750);
+/// Clients go on with the connections that stay open, and nobody else serves them until the next start: so they
+/// do stay open, until this much is left for what is held by then.
+const LAST_ANSWERS: Duration = Duration::from_millis(900);
+/// What has no answer this long before the end is failed, so that none is lost.
+const GIVE_UP: Duration = Duration::from_millis(100);
 /// The program ends this long before SIGKILL can come.
 const SPARE: Duration = Duration::from_millis(150);
 /// The platform counts the longest deadline as this at most, and adds `AFTER`, before SIGKILL.
@@ -174,7 +177,7 @@
 
     /// Serves until told to end, then finishes what is held.
     pub async fn run(self, told: impl Future<Output = ()>) -> std::io::Result<()> {
-        let (ending, ending_rx) = watch::channel(false);
+        let ending = watch::Sender::new(false);
         let (closing, closing_rx) = watch::channel(false);
         let connections = Rc::new(Cell::new(0));
         let sessions = Rc::new(Cell::new(0));
@@ -192,7 +195,6 @@
         }
         let front = http::Front {
             core: self.core.clone(),
-            ending: ending_rx,
             closing: closing_rx,
             connections: Rc::clone(&connections),
         };
@@ -203,17 +205,25 @@
         }
 
         let told = Instant::now();
-        let open = self.core.open();
-        tracing::info!(open, "ending");
+        let (serve_until, end) = (told + self.patience - LAST_ANSWERS, told + self.patience);
+        tracing::info!(open = self.core.open(), "ending");
         ending.send_replace(true);
-        // Clients still come for a while; the listener ends with the future that holds it.
-        let _ = tokio::time::timeout_at(told + ACCEPT_ON, &mut front).await;
+        let held = || connections.get() > 0 || self.core.open() > 0;
+        let _ = tokio::time::timeout_at(told + STILL_COME, &mut front).await;
+        let _ = tokio::time::timeout_at(serve_until, async {
+            tokio::select! {
+                _ = &mut front => {}
+                () = until(|| !held()) => {}
+            }
+        })
+        .await;
+        // The listener ends with the future that holds it.
         drop(front);
-        tokio::time::sleep_until(told + CLOSE_IDLE).await;
         closing.send_replace(true);
         // Sessions were asked to log out. One that stays without a request open does not hold the end up.
-        while (connections.get() > 0 || self.core.open() > 0) && Instant::now() < told + self.patience {
-            tokio::time::sleep(Duration::from_millis(5)).await;
+        if tokio::time::timeout_at(end - GIVE_UP, until(|| !held())).await.is_err() {
+            self.core.tell(Message::End).await;
+            let _ = tokio::time::timeout_at(end, until(|| !held())).await;
         }
         let open = self.core.open();
         tracing::info!(open, connections = connections.get(), sessions = sessions.get(), "ended");
@@ -221,6 +231,13 @@
     }
 }
 
+/// Looks again and again; the end of a program is no time to have everyone tell.
+async fn until(reached: impl Fn() -> bool) {
+    while !reached() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 fn connect(pool: http::Pool, figures: Option<iscsi::Figures>, core: Handle) -> Connect {
     Box::new(move |line| match (line.wire, &figures) {
         (Wire::Iscsi, Some(figures)) => iscsi::connect(line, figures.clone(), core.clone()),
