Call off attempts whose connection has fallen silent, and send them again

Logged every refusal with its reason: 632 reads within their due were refused on a prediction of 80 ms and more at nodes that had a single attempt out, silent for 200 to 1,400 ms. The rest of the refusals came from the `basic` limits, the rest of the loss from clients that leave within 1 ms of asking. Lines at fault: closed_form in src/rules.rs took one silent connection for a silent node, which then got nothing that it could have answered; no attempt was given up before its deadline; link.rs waited 400 ms for the rest of an answer, five times the aim of a read there. Now silence counts from two attempts out; an attempt that four later answers have overtaken, or that is alone at its node for long, is called off and sent again as its class permits; an answer may stand still for half the tightest aim.

--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -497,4 +497,28 @@
             assert_eq!(core.submit(write).await.expect("fit").answer().await, Answer::Failed);
         });
     }
+
+    // What has no answer when the program must end would be lost with it.
+    #[test]
+    fn at_the_end_whatever_is_open_fails() {
+        let holds = || -> Connect {
+            Box::new(|_| {
+                let (tx, mut rx) = mpsc::channel(8);
+                tokio::task::spawn_local(async move {
+                    let mut held = Vec::new();
+                    while let Some(message) = rx.recv().await {
+                        held.push(message);
+                    }
+                });
+                tx
+            })
+        };
+        story(holds, async |core| {
+            list(&core).await;
+            let pending = core.submit(order()).await.expect("fit");
+            core.tell(Message::End).await;
+            assert_eq!(pending.answer().await, Answer::Failed);
+            assert_eq!(core.open(), 0);
+        });
+    }
 }
--- a/src/net/http/link.rs
+++ b/src/net/http/link.rs
@@ -23,8 +23,6 @@
 /// The most that the head of an answer may take up, and how many 1xx answers may come before it.
 const LARGEST_HEAD: usize = 16 * 1024;
 const MOST_INFORMATIONAL: usize = 16;
-/// An answer that has begun goes on within this time, or its length does not fit it.
-const STALL: Duration = Duration::from_millis(400);
 /// How long a connection rests after an answer: what a target sends behind one shows by then.
 const REST: Duration = Duration::from_millis(10);
 /// How often idle connections are looked through.
@@ -53,6 +51,7 @@
     stream: TcpStream,
     addr: SocketAddr,
     buffer: BytesMut,
+    stall: Duration,
     /// The last answer ended where it said, and more may be asked.
     whole: bool,
     #[expect(dead_code, reason = "held for its drop")]
@@ -134,7 +133,7 @@
     async fn more(&mut self, begun: bool) -> Result<(), Fault> {
         let read = self.stream.read_buf(&mut self.buffer);
         let read = match begun {
-            true => tokio::time::timeout(STALL, read).await.map_err(|_| Fault::Broken)?,
+            true => tokio::time::timeout(self.stall, read).await.map_err(|_| Fault::Broken)?,
             false => read.await,
         };
         match read {
@@ -159,14 +158,16 @@
     most: usize,
     /// A connection idle this long is not used again; the target would close it soon.
     idle: Duration,
+    /// An answer that has begun goes on within this time, or it will not be whole.
+    stall: Duration,
     open: Rc<Cell<usize>>,
     /// With the time of the last answer; the oldest first.
     kept: Rc<RefCell<VecDeque<(Instant, Link)>>>,
 }
 
 impl Links {
-    pub fn new(most: usize, idle: Duration) -> Links {
-        Links { most, idle, open: Rc::default(), kept: Rc::default() }
+    pub fn new(most: usize, idle: Duration, stall: Duration) -> Links {
+        Links { most, idle, stall, open: Rc::default(), kept: Rc::default() }
     }
 
     /// Closes what stands idle for too long or was closed by its target, until the store is let go.
@@ -207,7 +208,7 @@
         let place = Place(Rc::clone(&self.open));
         let stream = tokio::time::timeout(timeout, TcpStream::connect(addr)).await??;
         stream.set_nodelay(true)?;
-        Ok(Link { stream, addr, buffer: BytesMut::new(), whole: false, place })
+        Ok(Link { stream, addr, buffer: BytesMut::new(), stall: self.stall, whole: false, place })
     }
 
     /// Keeps a connection whose last answer ended where it should.
--- a/src/node.rs
+++ b/src/node.rs
@@ -29,6 +29,11 @@
 const LONGEST: Duration = Duration::from_secs(3);
 const AFTER: Duration = Duration::from_millis(700);
 
+/// How long an answer that has begun may stand still: half of the tightest aim, so that a new attempt can still
+/// be in time, within these bounds.
+const SHORTEST_STALL: Duration = Duration::from_millis(30);
+const LONGEST_STALL: Duration = Duration::from_millis(400);
+
 /// Why the program could not serve.
 #[derive(Debug)]
 pub enum Error {
@@ -137,7 +142,9 @@
             None => None,
         };
         let (ask, asked) = mpsc::channel(4);
-        let links = http::Links::new(config.limits.target_sockets(), config.settings.conn_idle() / 2);
+        let (idle, stall) = (config.settings.conn_idle() / 2, config.settings.tightest_aim() / 2);
+        let stall = stall.clamp(SHORTEST_STALL, LONGEST_STALL);
+        let links = http::Links::new(config.limits.target_sockets(), idle, stall);
         actix_rt::spawn(links.clone().sweep());
         let connect_timeout = config.settings.connect_timeout();
         let pool = http::Pool { connect_timeout, links };
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -36,10 +36,10 @@
 const BACKGROUND_PART: f64 = 0.2;
 /// It waits while it is predicted to take more than this part of the tightest aim.
 const BACKGROUND_AIM_PART: f64 = 0.5;
-/// The level of dues rises at this rate a second, and falls by `LEVEL_FALL` times the part refused.
+/// The level of dues rises at this rate a second, falls by `LEVEL_FALL` times the part refused, and stays above
+/// this part of what any volume asked lately.
 const LEVEL_RISE: f64 = 0.5;
 const LEVEL_FALL: f64 = 10.0;
-/// It stays above this part of what any volume asked lately.
 const LEVEL_FLOOR: f64 = 0.1;
 /// Clients are told to stay away for this long at least.
 const SHORTEST_ADVICE: Micros = 20_000;
@@ -50,6 +50,9 @@
 const LONGEST_REST: Micros = 640_000;
 /// First wait after a failed call for the list; it doubles up to a part of the rule's bound.
 const ASK_AGAIN: Micros = 100_000;
+/// An attempt is lost once this many sent after it have answers, and it waited for this multiple of what it should.
+const OVERTAKEN: usize = 4;
+const LOST_AFTER: f64 = 4.0;
 /// Idle volumes and keys are forgotten after this long.
 const FORGET: Micros = 30_000_000;
 
@@ -67,6 +70,7 @@
     node: NodeId,
     sent: Micros,
     ran: Ran,
+    lost: bool,     // called off, since its answer does not come
     predicted: f64, // by the closed form, without the margin
 }
 
@@ -110,13 +114,10 @@
 
 impl Rate {
     fn add(&mut self, now: Micros, units: f64) {
-        *self = Rate { sum: self.sum * self.left(now) + units, at: now };
-    }
-    fn left(&self, now: Micros) -> f64 {
-        (-(now.saturating_sub(self.at) as f64) / RATE_SPAN).exp()
+        *self = Rate { sum: self.per_second(now) * RATE_SPAN / 1e6 + units, at: now };
     }
     fn per_second(&self, now: Micros) -> f64 {
-        self.sum * self.left(now) * 1e6 / RATE_SPAN
+        self.sum * (-(now.saturating_sub(self.at) as f64) / RATE_SPAN).exp() * 1e6 / RATE_SPAN
     }
 }
 
@@ -152,23 +153,13 @@
     out: BTreeMap<(Micros, RequestId, u32), f64>,
     out_units: f64,
     rest_until: Micros,
-    answered: Micros, // its last answer of any kind
-    failing: u32,     // turned away or unreachable since it last served
-}
-
-/// What the answers of all nodes tell.
-#[derive(Default, Clone, Copy)]
-struct Mean {
-    latency: f64,
-    speed: f64,
-    heard: Option<Micros>,
+    answered: Micros,          // its last answer of any kind
+    answers: VecDeque<Micros>, // when the attempts of its last answers were sent
+    failing: u32,              // turned away or unreachable since it last served
 }
 
-#[derive(Default)]
-struct Turn {
-    order: VecDeque<RequestId>,
-    rest_until: Micros,
-}
+/// Who waits for a key, in order, and until when it rests.
+type Turn = (VecDeque<RequestId>, Micros);
 
 #[derive(Default)]
 pub struct Gateway {
@@ -177,7 +168,7 @@
     born: Option<Micros>,
     background: Vec<bool>,
     tightest: Micros,
-    all: Mean,
+    all: Node,         // what the answers of all nodes tell
     margins: Vec<f64>, // for each class: what the closed form is multiplied by
     requests: BTreeMap<RequestId, Held>,
     deadlines: BTreeSet<(Micros, RequestId)>,
@@ -201,11 +192,8 @@
     pub fn new(settings: Settings, seed: u64) -> Result<Gateway, SettingsError> {
         settings.check()?;
         let tightest = settings.classes.iter().map(|c| c.aim).min().unwrap_or(0);
-        let background = settings
-            .classes
-            .iter()
-            .map(|c| !c.write && c.aim as f64 >= BACKGROUND_AIM * tightest as f64 && c.aim > tightest)
-            .collect();
+        let patient = |c: &Class| c.aim as f64 >= BACKGROUND_AIM * tightest as f64 && c.aim > tightest;
+        let background = settings.classes.iter().map(|c| !c.write && patient(c)).collect();
         let margins = vec![1.0; settings.classes.len()];
         Ok(Gateway { s: settings, random: seed, background, tightest, margins, ..Gateway::default() })
     }
@@ -219,16 +207,14 @@
                 self.outcome(now, id, (attempt, outcome, took, over), act);
             }
             Event::Started { id, .. } => {
-                if let Some(h) = self.requests.get_mut(&id) {
-                    h.started = true;
-                    self.deadlines.remove(&(h.deadline, id));
-                }
+                self.requests.entry(id).and_modify(|h| h.started = true);
+                self.deadlines.retain(|(_, open)| *open != id);
             }
             Event::Withdrawn { id } => {
                 // Nobody waits for it: where the node can drop waiting work, it should.
-                let tries =
-                    self.requests.get(&id).filter(|_| self.s.may_cancel).map_or(&[][..], |h| &h.tries);
-                for (i, _) in tries.iter().enumerate().filter(|(_, t)| t.ran == Ran::Out) {
+                let held = self.requests.get(&id).filter(|_| self.s.may_cancel);
+                let tries = held.iter().flat_map(|h| h.tries.iter().enumerate());
+                for (i, _) in tries.filter(|(_, t)| t.ran == Ran::Out) {
                     act.push(Action::Cancel { id, attempt: Attempt(i as u32) });
                 }
                 self.end(id);
@@ -254,8 +240,6 @@
         ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
     }
 
-    // ---- arrival ----
-
     fn request(&mut self, now: Micros, r: Request, act: &mut Vec<Action>) {
         if self.requests.contains_key(&r.id) {
             return;
@@ -285,7 +269,7 @@
             ..Held::default()
         };
         if let (true, Some(key)) = (c.in_order, r.key) {
-            self.turns.entry(key).or_default().order.push_back(r.id);
+            self.turns.entry(key).or_default().0.push_back(r.id);
         }
         self.requests.insert(r.id, held);
         self.deadlines.insert((r.deadline, r.id));
@@ -398,8 +382,6 @@
         best.map(|(_, shard)| shard)
     }
 
-    // ---- shares ----
-
     /// Counts a request as asked, and tells whether it is inside its volume's due at the shard: the reserve
     /// and the weighted share at the lane's level, of which the part asked through this gateway counts here.
     fn within_due(&mut self, now: Micros, id: RequestId, shard: ShardId) -> bool {
@@ -415,8 +397,7 @@
         let p = v.parts.entry(shard).or_default();
         p.asked.add(now, units);
         let mine = p.asked.per_second(now);
-        // What comes through other gateways: told for this shard, else the late meter less what was served
-        // here, else an even part for each of them.
+        // What comes through others: told for this shard, else the late meter less the served, else an even part.
         let others = match v.meter.filter(|(at, _)| now < at + meter_span) {
             _ if told => p.elsewhere.per_second(now),
             Some((_, all)) => (all - v.served.per_second(now)).max(0.0) * mine / whole,
@@ -444,8 +425,6 @@
         within
     }
 
-    // ---- estimates ----
-
     /// How much what was told at a time still counts.
     fn known(&self, now: Micros, told: Option<Micros>) -> f64 {
         told.map_or(0.0, |at| (-(now.saturating_sub(at) as f64) / KNOWN_FOR).exp())
@@ -466,11 +445,13 @@
     /// The design's closed form, in microseconds.
     fn closed_form(&self, now: Micros, node: NodeId, units: f64) -> f64 {
         let (speed, latency) = self.learned(now, node);
-        // Silence while answers are owed tells already what they will tell, and ends with the first of them.
+        // Silence while answers are owed tells already what they will tell, and ends with the first. One alone may
+        // have a silent connection: closed up for it, the node could not show that it answers others.
         let n = &self.nodes[&node];
-        let owed = n.out.first_key_value().map(|((sent, _, _), _)| n.answered.max(*sent));
+        let owed = n.out.first_key_value().filter(|_| n.out.len() > 1);
+        let owed = owed.map(|((sent, _, _), _)| n.answered.max(*sent));
         let silence = owed.map_or(0, |since| now.saturating_sub(since)) as f64;
-        // Where all is refused no answer comes to correct it: the mean fades too, and a late one the longest.
+        // Where all is refused no answer comes to correct it: the mean fades too.
         let fade = self.known(now, self.all.heard);
         if speed <= 0.0 { 0.0 } else { units / speed * 1e6 * fade + (latency * fade).max(silence) }
     }
@@ -481,8 +462,6 @@
         units.clamp(FEWEST_OUT * self.s.usual_units, MOST_OUT * self.s.usual_units)
     }
 
-    // ---- sending ----
-
     /// The node that may take work for a shard.
     fn node_of(&self, shard: ShardId) -> Option<NodeId> {
         let usable = self.nodes.iter().filter(|(_, n)| n.shard == shard && n.state == NodeState::In);
@@ -491,23 +470,19 @@
 
     fn pump(&mut self, now: Micros, shard: ShardId, act: &mut Vec<Action>) {
         let Some(node) = self.node_of(shard) else { return };
-        // Deadline order. What has missed its aim, as background work moved to its class deadline does, earns
-        // little and would come first: it goes only when nothing that can still be in time waits. This also
-        // guards against the backlog of a pause or a hang; it hurts where late answers earn nearly as much.
+        // Deadline order. What missed its aim earns little and would come first: it goes when nothing that can be
+        // in time waits. It guards against a hang's backlog, and hurts where late answers earn nearly as much.
         for lapsed in [false, true] {
             let mut at = 0;
             while let Some(&id) = self.lanes.get(&shard).and_then(|l| l.queue.get(at)) {
                 let n = &self.nodes[&node];
                 let h = &self.requests[&id];
-                // Background work and what lapsed leave room at the node for what comes next: filled up with
-                // them it would be predicted late for tight aims, which are refused before they can wait.
+                // Background work and what lapsed leave room: tight aims are refused before they can wait.
                 let part = if lapsed || self.background[h.class] { BACKGROUND_PART } else { 1.0 };
                 let full = !n.out.is_empty() && n.out_units + h.units > part * self.bound(now, node);
-                // A node that fails is tried again with one request: a burst on a dead or full node spends
-                // the attempts of all that wait for it. Covers crashes, full queues, lost connections.
+                // A dead or full node is tried with one request: a burst would spend the attempts of all.
                 let full = full || (n.failing > 0 && !n.out.is_empty());
-                // Where the node is predicted busy, with others' work too, background work would only wait
-                // there, before tight aims; it hurts where background earns as much.
+                // At a node predicted busy background work would only wait, before tight aims.
                 let busy = BACKGROUND_AIM_PART * self.tightest as f64;
                 let full = full || part < 1.0 && self.closed_form(now, node, n.out_units + h.units) > busy;
                 if n.rest_until > now || (full && part == 1.0) {
@@ -545,7 +520,7 @@
         // Rule 5: requests of one key in turn.
         if let (true, Some(key)) = (self.s.classes[h.class].in_order, h.key)
             && let Some(turn) = self.turns.get(&key)
-            && (turn.order.front() != Some(&id) || (turn.rest_until > now && h.tries.is_empty()))
+            && (turn.0.front() != Some(&id) || (turn.1 > now && h.tries.is_empty()))
         {
             return false;
         }
@@ -576,7 +551,7 @@
             n.out.insert((now, id, h.tries.len() as u32), units);
             n.out_units += units;
             h.waiting = false;
-            h.tries.push(Try { node, sent: now, ran: Ran::Out, predicted });
+            h.tries.push(Try { node, sent: now, ran: Ran::Out, lost: false, predicted });
         }
         act.push(Action::Send { id, node, timeout: None });
         true
@@ -619,11 +594,9 @@
         self.nodes[&node].started.is_some_and(|s| now < s + self.s.rules.warm_within)
     }
 
-    /// When this gateway may send these units to a node; at once where it is warm. What all gateways may send
-    /// a cold one in a window is told for its start, and grows with the least capacity it can have by then.
-    /// This gateway's even part holds in every window. A request larger than that part waits until the part
-    /// has made it up, less `COLD_SPARE`: from the node's start with a phase of its own, so that requests of
-    /// many gateways spread over the time that they all need together.
+    /// When this gateway may send these units to a node; at once where it is warm. What a cold one takes in a window
+    /// is told for its start and grows with its least capacity; this gateway's even part holds in every window. A
+    /// request larger than the part waits until it is made up, less `COLD_SPARE`, with a phase of its own.
     fn cold_until(&self, now: Micros, node: NodeId, units: f64) -> Micros {
         let (r, n) = (&self.s.rules, &self.nodes[&node]);
         if !self.is_cold(now, node) {
@@ -651,8 +624,6 @@
         until.max(if n.cold_sends.is_empty() { 0 } else { last + r.fall_window })
     }
 
-    // ---- outcomes ----
-
     /// What an answer tells of the volume's use.
     fn use_told(&mut self, now: Micros, id: RequestId, outcome: Outcome, used: Option<f64>, elsewhere: f64) {
         let Some(h) = self.requests.get(&id) else { return };
@@ -675,10 +646,11 @@
         let never = matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::NotSent);
         t.ran = if never { Ran::Never } else { Ran::Maybe };
         let (node, sent, predicted, units, class) = (t.node, t.sent, t.predicted, h.units, h.class);
+        let lost = t.lost;
         let key = h.key.filter(|_| self.s.classes[class].in_order);
         let may_run_on = matches!(outcome, Outcome::TimedOut | Outcome::Broken | Outcome::Cancelled);
         if let (true, Some(turn)) = (may_run_on, key.and_then(|k| self.turns.get_mut(&k))) {
-            turn.rest_until = turn.rest_until.max(now + self.s.rules.key_rest);
+            turn.1 = turn.1.max(now + self.s.rules.key_rest);
         }
         let (shard, patience) = (h.shard, h.deadline.saturating_sub(sent) as f64);
         let own = self.nodes.get(&node).map_or(0.0, |n| self.known(now, n.heard));
@@ -691,16 +663,20 @@
             if !matches!(outcome, Outcome::TimedOut | Outcome::Cancelled | Outcome::NotSent) {
                 n.answered = now;
             }
-            // The closed form runs short with other gateways' load, and long where a node works in parallel
-            // or a class's units cost less: each class's margin follows the errors of its answers there.
+            if matches!(outcome, Outcome::Served | Outcome::Error) {
+                n.answers.push_back(sent);
+                n.answers.drain(..n.answers.len().saturating_sub(OVERTAKEN));
+            }
+            // The closed form errs with others' load, parallel work and classes: each class's margin follows.
             if matches!(outcome, Outcome::Served | Outcome::TimedOut) && predicted > 0.0 {
                 let short = took as f64 > predicted * self.margins[class];
                 let step = if short { 1.0 + MARGIN_STEP * KEPT } else { 1.0 - MARGIN_STEP * (1.0 - KEPT) };
                 self.margins[class] = (self.margins[class] * step).clamp(0.25, 4.0);
             }
-            // What ended without an answer took at least that long, and a full node all of the client's time:
-            // else a jam, which serves nothing, would be forgotten and filled up again.
+            // No answer took at least that long, a full node all of the client's time: a jam is not forgotten.
             let latency = match outcome {
+                // A connection that fell silent says nothing of the node.
+                _ if lost => None,
                 Outcome::Served => Some(took.max(1) as f64),
                 Outcome::TimedOut | Outcome::Cancelled => Some((took as f64).max(was.1)),
                 Outcome::Full => Some(patience.max(was.1)),
@@ -747,8 +723,6 @@
         }
     }
 
-    // ---- ends ----
-
     /// The one way to a final answer of this gateway's: a refusal where the class allows it, else a failure.
     fn answer(&mut self, now: Micros, id: RequestId, act: &mut Vec<Action>) {
         let Some(h) = self.requests.get(&id).filter(|h| !h.over) else { return };
@@ -800,14 +774,36 @@
             return;
         }
         if let Some(turn) = h.key.and_then(|k| self.turns.get_mut(&k)) {
-            turn.order.retain(|q| *q != id);
+            turn.0.retain(|q| *q != id);
         }
         self.requests.remove(&id);
     }
 
-    // ---- time ----
+    /// Calls off attempts whose answers do not come though the node, which takes requests in turn, answers later
+    /// ones: their connections are silent, and would hold their units and clients until the deadline. One alone
+    /// at its node shows less and waits longer. It hurts where single requests vary beyond `LOST_AFTER`.
+    fn call_off_lost(&mut self, now: Micros, act: &mut Vec<Action>) {
+        let mut lost = Vec::new();
+        for (node, n) in self.nodes.iter().filter(|_| self.s.may_cancel) {
+            let latency = self.learned(now, *node).1;
+            for (sent, id, i) in n.out.keys() {
+                let Some(t) = self.requests.get(id).and_then(|h| h.tries.get(*i as usize)) else { continue };
+                let (waited, patience) = ((now - sent) as f64, LOST_AFTER * latency.max(t.predicted));
+                let alone = (2.0 * patience).max(AIM_PART * self.tightest as f64);
+                let overtaken = n.answers.iter().filter(|s| *s > sent).count() >= OVERTAKEN;
+                if !t.lost && (overtaken && waited > patience || n.out.len() == 1 && waited > alone) {
+                    lost.push((*id, *i));
+                }
+            }
+        }
+        for (id, i) in lost {
+            self.requests.entry(id).and_modify(|h| h.tries[i as usize].lost = true);
+            act.push(Action::Cancel { id, attempt: Attempt(i) });
+        }
+    }
 
     fn tick(&mut self, now: Micros, act: &mut Vec<Action>) {
+        self.call_off_lost(now, act);
         while let Some(&(deadline, id)) = self.deadlines.first()
             && deadline <= now + ANSWER_EARLY
         {
@@ -839,7 +835,7 @@
         volumes.retain(|_, v| v.seen + FORGET > now);
         nodes.retain(|_, n| n.state != NodeState::Gone || !n.out.is_empty());
         lanes.retain(|s, l| !l.queue.is_empty() || nodes.values().any(|n| n.shard == *s));
-        turns.retain(|_, t| !t.order.is_empty() || t.rest_until > now);
+        turns.retain(|_, t| !t.0.is_empty() || t.1 > now);
         limits.retain(|_, l| l.1 + FORGET > now);
     }
 
@@ -857,8 +853,6 @@
         }
     }
 
-    // ---- the list ----
-
     fn ask(&mut self, now: Micros, act: &mut Vec<Action>) {
         if self.s.list_is_asked && !self.watching && !self.asked && now >= self.ask_at {
             self.asked = true;
@@ -879,11 +873,8 @@
             (self.asked, self.ask_wait) = (false, ASK_AGAIN);
         }
         if kind != ListKind::Changes {
-            for (id, n) in self.nodes.iter_mut() {
-                if !entries.iter().any(|e| e.node == *id) {
-                    n.state = NodeState::Gone;
-                }
-            }
+            let listed = |id: &NodeId| entries.iter().any(|e| e.node == *id);
+            self.nodes.iter_mut().filter(|(id, _)| !listed(id)).for_each(|(_, n)| n.state = NodeState::Gone);
         }
         for e in entries {
             let started = e.started.filter(|s| *s > 0);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -126,6 +126,11 @@
         Duration::from_micros(self.ceilings.connect_timeout.max(1_000))
     }
 
+    /// The shortest time within which a class's answers are wanted.
+    pub fn tightest_aim(&self) -> Duration {
+        Duration::from_micros(self.grades.iter().map(|g| g.promise).min().unwrap_or(0))
+    }
+
     /// The longest that a client of any class waits.
     pub fn longest_deadline(&self) -> Duration {
         Duration::from_micros(self.grades.iter().map(|g| g.hard_limit).max().unwrap_or(0))
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -235,6 +235,39 @@
     assert_eq!(sends(&b.take(request(101, READ))), [101]);
 }
 
+fn calls_off(actions: &[Action]) -> Vec<u64> {
+    let called_off = |a: &Action| match a {
+        Action::Cancel { id, .. } => Some(id.0),
+        _ => None,
+    };
+    actions.iter().filter_map(called_off).collect()
+}
+
+// An answer that never comes held its units and its client until the deadline, and kept its node closed.
+#[test]
+fn an_attempt_that_later_answers_overtake_is_called_off_and_sent_again() {
+    let mut b = heard(2 * MS);
+    assert_eq!(sends(&b.take(request(1, READ))), [1]);
+    for id in 2..6 {
+        b.pass(MS);
+        assert_eq!(sends(&b.take(request(id, READ))), [id], "one silent connection closes no node");
+        b.served(id, 2 * MS);
+    }
+    assert!(calls_off(&b.pass(10 * MS)).is_empty(), "it may just be slow");
+    assert_eq!(calls_off(&b.pass(30 * MS)), [1]);
+    assert!(calls_off(&b.pass(10 * MS)).is_empty(), "once");
+    assert_eq!(sends(&b.outcome(1, 0, 0, Outcome::Cancelled, 40 * MS)), [1]);
+}
+
+#[test]
+fn a_lone_attempt_is_called_off_after_part_of_the_aim_and_a_keyed_one_only_for_its_own_nodes() {
+    let mut b = heard(2 * MS);
+    b.take(request(1, KEYED));
+    assert!(calls_off(&b.pass(40 * MS)).is_empty());
+    assert_eq!(calls_off(&b.pass(20 * MS)), [1]);
+    assert_eq!(sends(&b.outcome(1, 0, 0, Outcome::Cancelled, 60 * MS)), [1], "the same shard drops a repeat");
+}
+
 #[test]
 fn background_work_waits_while_the_node_is_predicted_busy_with_others_work() {
     // Nothing of ours is out in either case; a read's aim is 100 ms.
