--- a/src/rules.rs
+++ b/src/rules.rs
@@ -36,8 +36,8 @@
 const BACKGROUND_PART: f64 = 0.2;
 /// It waits while it is predicted to take more than this part of the tightest aim.
 const BACKGROUND_AIM_PART: f64 = 0.5;
-/// The level of dues rises at this rate a second, falls by `LEVEL_FALL` times the part refused, and stays above
-/// this part of what any volume asked lately.
+/// The level of dues rises at this rate a second, falls by `LEVEL_FALL` times the part refused, and stays
+/// above this part of what any volume asked lately.
 const LEVEL_RISE: f64 = 0.5;
 const LEVEL_FALL: f64 = 10.0;
 const LEVEL_FLOOR: f64 = 0.1;
@@ -50,7 +50,7 @@
 const LONGEST_REST: Micros = 640_000;
 /// First wait after a failed call for the list; it doubles up to a part of the rule's bound.
 const ASK_AGAIN: Micros = 100_000;
-/// An attempt is lost once this many sent after it have answers, and it waited for this multiple of what it should.
+/// An attempt is lost once this many later ones have answers and it waited for this multiple of its due.
 const OVERTAKEN: usize = 4;
 const LOST_AFTER: f64 = 4.0;
 /// Idle volumes and keys are forgotten after this long.
@@ -397,7 +397,7 @@
         let p = v.parts.entry(shard).or_default();
         p.asked.add(now, units);
         let mine = p.asked.per_second(now);
-        // What comes through others: told for this shard, else the late meter less the served, else an even part.
+        // What comes through others: told for this shard, else the late meter, else an even part.
         let others = match v.meter.filter(|(at, _)| now < at + meter_span) {
             _ if told => p.elsewhere.per_second(now),
             Some((_, all)) => (all - v.served.per_second(now)).max(0.0) * mine / whole,
@@ -445,8 +445,8 @@
     /// The design's closed form, in microseconds.
     fn closed_form(&self, now: Micros, node: NodeId, units: f64) -> f64 {
         let (speed, latency) = self.learned(now, node);
-        // Silence while answers are owed tells already what they will tell, and ends with the first. One alone may
-        // have a silent connection: closed up for it, the node could not show that it answers others.
+        // Silence while answers are owed tells already what they will tell, and ends with the first. One alone
+        // may have a silent connection: closed up for it, the node could not show that it answers others.
         let n = &self.nodes[&node];
         let owed = n.out.first_key_value().filter(|_| n.out.len() > 1);
         let owed = owed.map(|((sent, _, _), _)| n.answered.max(*sent));
@@ -470,8 +470,8 @@
 
     fn pump(&mut self, now: Micros, shard: ShardId, act: &mut Vec<Action>) {
         let Some(node) = self.node_of(shard) else { return };
-        // Deadline order. What missed its aim earns little and would come first: it goes when nothing that can be
-        // in time waits. It guards against a hang's backlog, and hurts where late answers earn nearly as much.
+        // Deadline order. What missed its aim earns little and would come first: it goes when nothing that can
+        // be in time waits. It guards against a hang's backlog, and hurts where late answers earn as much.
         for lapsed in [false, true] {
             let mut at = 0;
             while let Some(&id) = self.lanes.get(&shard).and_then(|l| l.queue.get(at)) {
@@ -594,8 +594,8 @@
         self.nodes[&node].started.is_some_and(|s| now < s + self.s.rules.warm_within)
     }
 
-    /// When this gateway may send these units to a node; at once where it is warm. What a cold one takes in a window
-    /// is told for its start and grows with its least capacity; this gateway's even part holds in every window. A
+    /// When this gateway may send these units to a node; at once where it is warm. What a cold one takes in a
+    /// window is told for its start and grows with its least capacity; this gateway's even part holds always. A
     /// request larger than the part waits until it is made up, less `COLD_SPARE`, with a phase of its own.
     fn cold_until(&self, now: Micros, node: NodeId, units: f64) -> Micros {
         let (r, n) = (&self.s.rules, &self.nodes[&node]);
@@ -667,13 +667,13 @@
                 n.answers.push_back(sent);
                 n.answers.drain(..n.answers.len().saturating_sub(OVERTAKEN));
             }
-            // The closed form errs with others' load, parallel work and classes: each class's margin follows.
+            // The closed form errs with others' load and parallel work: each class's margin follows.
             if matches!(outcome, Outcome::Served | Outcome::TimedOut) && predicted > 0.0 {
                 let short = took as f64 > predicted * self.margins[class];
                 let step = if short { 1.0 + MARGIN_STEP * KEPT } else { 1.0 - MARGIN_STEP * (1.0 - KEPT) };
                 self.margins[class] = (self.margins[class] * step).clamp(0.25, 4.0);
             }
-            // No answer took at least that long, a full node all of the client's time: a jam is not forgotten.
+            // No answer took at least that long, a full node all of the time: a jam is not forgotten.
             let latency = match outcome {
                 // A connection that fell silent says nothing of the node.
                 _ if lost => None,
@@ -779,9 +779,9 @@
         self.requests.remove(&id);
     }
 
-    /// Calls off attempts whose answers do not come though the node, which takes requests in turn, answers later
-    /// ones: their connections are silent, and would hold their units and clients until the deadline. One alone
-    /// at its node shows less and waits longer. It hurts where single requests vary beyond `LOST_AFTER`.
+    /// Calls off attempts whose answers do not come though the node, which takes requests in turn, answers
+    /// later ones: their connections are silent, and would hold their units until the deadline. One alone at
+    /// its node shows less and waits longer. It hurts where single requests vary beyond `LOST_AFTER`.
     fn call_off_lost(&mut self, now: Micros, act: &mut Vec<Action>) {
         let mut lost = Vec::new();
         for (node, n) in self.nodes.iter().filter(|_| self.s.may_cancel) {
