--- a/src/rules.rs
+++ b/src/rules.rs
@@ -445,8 +445,8 @@
     /// The design's closed form, in microseconds.
     fn closed_form(&self, now: Micros, node: NodeId, units: f64) -> f64 {
         let (speed, latency) = self.learned(now, node);
-        // Silence while answers are owed tells already what they will tell, and ends with the first. One alone
-        // may have a silent connection: closed up for it, the node could not show that it answers others.
+        // Silence while answers are owed tells already what they will tell, and ends with the first. One
+        // alone may have a silent connection: closed for it, the node could not show that it answers others.
         let n = &self.nodes[&node];
         let owed = n.out.first_key_value().filter(|_| n.out.len() > 1);
         let owed = owed.map(|((sent, _, _), _)| n.answered.max(*sent));
@@ -470,8 +470,8 @@
 
     fn pump(&mut self, now: Micros, shard: ShardId, act: &mut Vec<Action>) {
         let Some(node) = self.node_of(shard) else { return };
-        // Deadline order. What missed its aim earns little and would come first: it goes when nothing that can
-        // be in time waits. It guards against a hang's backlog, and hurts where late answers earn as much.
+        // Deadline order. What missed its aim earns little and would come first: it goes when nothing that
+        // can be in time waits. It guards against a hang's backlog, and hurts where late ones earn as much.
         for lapsed in [false, true] {
             let mut at = 0;
             while let Some(&id) = self.lanes.get(&shard).and_then(|l| l.queue.get(at)) {
@@ -595,7 +595,7 @@
     }
 
     /// When this gateway may send these units to a node; at once where it is warm. What a cold one takes in a
-    /// window is told for its start and grows with its least capacity; this gateway's even part holds always. A
+    /// window is told for its start and grows with its least capacity; this gateway's even part holds. A
     /// request larger than the part waits until it is made up, less `COLD_SPARE`, with a phase of its own.
     fn cold_until(&self, now: Micros, node: NodeId, units: f64) -> Micros {
         let (r, n) = (&self.s.rules, &self.nodes[&node]);
