Give background work up, with advice, once it has waited unsent for a fifth of its time

A count of open requests every 2 s showed up to 55 unsent exports, 1.5 to 3.5 s old, in one initiator, beside fewer than 10 other requests; clients hold 85 connections at most. Checked: closing idle connections after 2 s instead of 20 s changes nothing; no connection was turned away for want of a seat. Lines at fault: Gateway::tick in src/rules.rs exempted background work from being given up. It is still always accepted, and served best-effort; now it is refused once it has waited unsent for 0.2 of its client's time, and told when to come back.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -36,8 +36,9 @@
 const BACKGROUND_PART: f64 = 0.2;
 /// It waits while it is predicted to take more than this part of the tightest aim.
 const BACKGROUND_AIM_PART: f64 = 0.5;
-/// The level of dues rises at this rate a second, falls by `LEVEL_FALL` times the part refused, and stays
-/// above this part of what any volume asked lately.
+/// Unsent for this part of its client's time it is given up: it holds a connection that others lack.
+const BACKGROUND_WAIT: f64 = 0.2;
+/// The level of dues rises so a second, falls by so much of the part refused, and keeps so much of the top.
 const LEVEL_RISE: f64 = 0.5;
 const LEVEL_FALL: f64 = 10.0;
 const LEVEL_FLOOR: f64 = 0.1;
@@ -84,8 +85,9 @@
     units: f64,
     placed: bool, // the shard was given, not chosen here
     shard: Option<ShardId>,
-    aim: Micros, // an answer by then earns the full worth
-    due: Micros, // the place in the order: the aim, or for background work what it was moved to
+    aim: Micros,      // an answer by then earns the full worth
+    patience: Micros, // unsent by then, it is given up
+    due: Micros,      // the place in the order: the aim, or for background work what it was moved to
     deadline: Micros,
     gateways: f64,
     pushed: u32,
@@ -158,9 +160,6 @@
     failing: u32,              // turned away or unreachable since it last served
 }
 
-/// Who waits for a key, in order, and until when it rests.
-type Turn = (VecDeque<RequestId>, Micros);
-
 #[derive(Default)]
 pub struct Gateway {
     s: Settings,
@@ -175,8 +174,8 @@
     lanes: BTreeMap<ShardId, Lane>,
     homeless: Vec<RequestId>,
     nodes: BTreeMap<NodeId, Node>,
-    turns: BTreeMap<KeyId, Turn>,
-    limits: BTreeMap<VolumeId, (f64, Micros)>, // units left, and when that was so
+    turns: BTreeMap<KeyId, (VecDeque<RequestId>, Micros)>, // who waits, in order, and until when it rests
+    limits: BTreeMap<VolumeId, (f64, Micros)>,             // units left, and when that was so
     volumes: BTreeMap<VolumeId, Volume>,
     taken: VecDeque<Micros>,
     extra: VecDeque<Micros>,
@@ -254,6 +253,8 @@
         };
         let c = &self.s.classes[class];
         let units = if r.units.is_finite() && r.units > 0.0 { r.units } else { self.s.usual_units };
+        let part = (r.deadline.saturating_sub(now) as f64 * BACKGROUND_WAIT) as Micros;
+        let patience = if self.background[class] { part } else { c.aim };
         let held = Held {
             class,
             volume: r.volume,
@@ -264,6 +265,7 @@
             shard: r.shard,
             aim: (now + c.aim).min(r.deadline),
             due: (now + c.aim).min(r.deadline),
+            patience: if c.in_order { r.deadline } else { (now + patience).min(r.deadline) },
             deadline: r.deadline,
             gateways: if r.gateways == 0 { self.s.gateways.max(1) } else { r.gateways } as f64,
             ..Held::default()
@@ -779,9 +781,8 @@
         self.requests.remove(&id);
     }
 
-    /// Calls off attempts whose answers do not come though the node, which takes requests in turn, answers
-    /// later ones: their connections are silent, and would hold their units until the deadline. One alone at
-    /// its node shows less and waits longer. It hurts where single requests vary beyond `LOST_AFTER`.
+    /// Calls off attempts that the node's answers to later ones have overtaken: silent connections would hold
+    /// their units until the deadline. One alone waits longer. It hurts where work varies by `LOST_AFTER`.
     fn call_off_lost(&mut self, now: Micros, act: &mut Vec<Action>) {
         let mut lost = Vec::new();
         for (node, n) in self.nodes.iter().filter(|_| self.s.may_cancel) {
@@ -809,10 +810,9 @@
         {
             self.answer(now, id, act);
         }
-        // Given up at once: what missed its aim unsent, and background work that its limit keeps too long.
+        // Given up at once: what waited unsent for too long, and what its limit keeps too long.
         let kept = |h: &Held| self.limit(now, h).is_some_and(|(.., fill)| now + fill >= h.deadline);
-        let patient = |h: &Held| self.background[h.class] || self.s.classes[h.class].in_order;
-        let late = |h: &Held| kept(h) || !patient(h) && h.aim < now;
+        let late = |h: &Held| kept(h) || h.patience < now;
         let lost = |(_, h): &(_, &Held)| h.waiting && h.tries.is_empty() && late(h);
         let lost: Vec<_> = self.requests.iter().filter(lost).map(|(id, _)| *id).collect();
         lost.into_iter().for_each(|id| self.answer(now, id, act));
