Close idle client connections beyond a part of the clients' third soon, the oldest first

A look at the book of connections each second showed exactly 128 idle ones in each initiator: a third of 384, all that clients may hold. Crowds of clients ask once and keep their connection, so others had none and nothing reached the program. Ruled out: the module (logged every refusal), room for bodies, seats (never all taken), descriptors (287 of 384). Line at fault: IDLE in src/net/http/clients.rs let every idle connection stay for 4 s. Now a twelfth of the descriptors may stand idle for 2 s; of more, the oldest are closed after 0.2 s. Told to end, idle connections stay open, since clients make no new ones then.

--- a/src/config.rs
+++ b/src/config.rs
@@ -128,6 +128,12 @@
         self.sockets - OWN_SOCKETS - self.target_sockets() - sessions
     }
 
+    /// How many of these may stand idle for long. The platform's clients hold a third of the descriptors at most,
+    /// and need the rest of that third for those that come new.
+    pub fn idle_clients(&self) -> usize {
+        self.sockets / 12
+    }
+
     /// Bytes that bodies of requests may take up together.
     pub fn body_bytes(&self) -> usize {
         self.memory_mb * (1 << 20) / 4
--- a/src/net/http/clients.rs
+++ b/src/net/http/clients.rs
@@ -13,8 +13,9 @@
 
 /// How long a connection may take until it has brought a whole head, and say nothing at all.
 const HEAD: Duration = Duration::from_millis(2_000);
-/// How long a connection may stand idle between requests.
-const IDLE: Duration = Duration::from_secs(4);
+/// How long a connection may stand idle between requests; and where too many are idle, for how long it may at least.
+const IDLE: Duration = Duration::from_secs(2);
+const BRIEFLY: Duration = Duration::from_millis(200);
 /// Where room is short, silent connections make it once they have stood for this long, then idle ones. Before
 /// that, a request or an answer may just be under way.
 const SETTLED: Duration = Duration::from_millis(50);
@@ -77,20 +78,34 @@
 #[derive(Debug)]
 struct Book {
     most: usize,
+    most_idle: usize,
+    /// Idle connections stay.
+    kept: Cell<bool>,
     next: Cell<u64>,
     seats: RefCell<BTreeMap<u64, Rc<Seat>>>,
 }
 
 impl Clients {
-    /// A book with room for so many.
-    pub fn new(most: usize) -> Clients {
-        Clients(Rc::new(Book { most, next: Cell::new(0), seats: RefCell::default() }))
+    /// A book with room for so many, of which so many may stand idle for long.
+    pub fn new(most: usize, most_idle: usize) -> Clients {
+        Clients(Rc::new(Book {
+            most,
+            most_idle,
+            kept: Cell::new(false),
+            next: Cell::new(0),
+            seats: RefCell::default(),
+        }))
     }
 
     pub fn open(&self) -> usize {
         self.0.seats.borrow().len()
     }
 
+    /// From now on idle connections stay open: when the program is told to end, no new ones come for them.
+    pub fn keep(&self) {
+        self.0.kept.set(true);
+    }
+
     /// Takes a new connection in; where all places are taken, one that waits for nothing makes room. None: all of
     /// them have a request open, and the new one is closed.
     pub fn seat(&self, stream: TcpStream) -> Option<Guarded> {
@@ -111,19 +126,28 @@
         Some(Guarded { stream, seat, place: Place { book: self.clone(), number } })
     }
 
-    /// Ends what has kept silent, or taken over a head, for too long.
+    /// Ends what has kept silent, taken over a head, or stood idle for too long. Of idle connections beyond their
+    /// number the oldest go first: clients may hold only so many, and new clients find none while others keep
+    /// theirs without a use.
     pub fn sweep(&self) {
         let now = Instant::now();
-        for seat in self.0.seats.borrow().values() {
+        let lasted = |seat: &Seat| now.saturating_duration_since(seat.since.get());
+        let seats = self.0.seats.borrow();
+        let live = || seats.values().filter(|s| !s.ended.get());
+        for seat in live() {
             let most = match seat.phase.get() {
                 Phase::Silent | Phase::Head => HEAD,
-                Phase::Idle => IDLE,
-                Phase::Busy => continue,
+                Phase::Idle if !self.0.kept.get() => IDLE,
+                Phase::Idle | Phase::Busy => continue,
             };
-            if now.saturating_duration_since(seat.since.get()) >= most {
+            if lasted(seat) >= most {
                 seat.end();
             }
         }
+        let mut idle: Vec<&Rc<Seat>> = live().filter(|s| s.phase.get() == Phase::Idle).collect();
+        idle.sort_by_key(|s| s.since.get());
+        let spare = if self.0.kept.get() { 0 } else { idle.len().saturating_sub(self.0.most_idle) };
+        idle.into_iter().take(spare).filter(|s| lasted(s) >= BRIEFLY).for_each(|s| s.end());
     }
 }
 
@@ -234,7 +258,7 @@
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
         runtime.expect("a runtime").block_on(async {
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
-            let clients = Clients::new(2);
+            let clients = Clients::new(2, 1);
             let mut peers = Vec::new();
             let mut seat = async || {
                 let (peer, stream) = accepted(&listener).await;
@@ -259,4 +283,32 @@
             assert!(busy.seat().ended.get());
         });
     }
+
+    // A crowd of clients that each ask once and stay held all the connections that clients may have.
+    #[test]
+    fn beyond_their_number_idle_connections_are_closed_soon_the_oldest_first() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+        runtime.expect("a runtime").block_on(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+            let clients = Clients::new(9, 2);
+            let mut seats = Vec::new();
+            for _ in 0..4 {
+                let (peer, stream) = accepted(&listener).await;
+                let seat = clients.seat(stream).expect("room");
+                drop(seat.seat().busy());
+                tokio::time::advance(Duration::from_millis(1)).await;
+                seats.push((peer, seat));
+            }
+            let ended = || {
+                clients.sweep();
+                seats.iter().map(|(_, s)| s.seat().ended.get()).collect::<Vec<_>>()
+            };
+            assert_eq!(ended(), [false; 4], "their clients may just go on");
+            tokio::time::advance(BRIEFLY).await;
+            assert_eq!(ended(), [true, true, false, false]);
+            clients.keep();
+            tokio::time::advance(IDLE).await;
+            assert_eq!(ended(), [true, true, false, false], "no new ones would come for them");
+        });
+    }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -188,7 +188,8 @@
         let ending = watch::Sender::new(false);
         let (closing, closing_rx) = watch::channel(false);
         let most_sessions = self.iscsi.as_ref().map_or(0, |_| self.limits.sessions());
-        let clients = http::Clients::new(self.limits.client_sockets(most_sessions));
+        let most = self.limits.client_sockets(most_sessions);
+        let clients = http::Clients::new(most, self.limits.idle_clients());
         let sessions = Rc::new(Cell::new(0));
         if let Some((listener, iscsi)) = self.iscsi {
             let front = iscsi::Front {
@@ -219,6 +220,7 @@
         let (serve_until, end) = (told + self.patience - LAST_ANSWERS, told + self.patience);
         tracing::info!(open = self.core.open(), "ending");
         ending.send_replace(true);
+        clients.keep();
         let held = || clients.open() > 0 || self.core.open() > 0;
         let _ = tokio::time::timeout_at(told + STILL_COME, &mut front).await;
         let _ = tokio::time::timeout_at(serve_until, async {
