--- a/src/rules.rs
+++ b/src/rules.rs
@@ -37,7 +37,7 @@
 /// It waits while it is predicted to take more than this part of the tightest aim.
 const BACKGROUND_AIM_PART: f64 = 0.5;
 /// Unsent for this part of its client's time it is given up: it holds a connection that others lack.
-const BACKGROUND_WAIT: f64 = 0.2;
+const BACKGROUND_WAIT: f64 = 0.08;
 /// The level of dues rises so a second, falls by so much of the part refused, and keeps so much of the top.
 const LEVEL_RISE: f64 = 0.5;
 const LEVEL_FALL: f64 = 10.0;
