Turn the repository into a workspace, with the iSCSI codec in a crate of its own

Need: the program grows into subsystems; they need a place each, and two import circles (configuration and node, the core's mailbox and messages) stood in the way of taking parts out.

Change: the root is a Cargo workspace and stays the daemon's package. Attempts and the promises of their ends have a module of their own; the configuration checks itself against the module.

--- a/src/net/iscsi/frame.rs
+++ b/crates/iscsi/src/frame.rs
@@ -1,6 +1,6 @@
 //! PDUs out of a stream of bytes.
 
-use crate::net::iscsi::pdu::{self, HEADER, Header, Pdu, RejectReason};
+use crate::pdu::{self, HEADER, Header, Pdu, RejectReason};
 use bytes::{Buf, BytesMut};
 use std::io;
 use tokio::io::{AsyncRead, AsyncReadExt};
--- a/src/net/iscsi/login.rs
+++ b/crates/iscsi/src/login.rs
@@ -1,7 +1,7 @@
 //! The login phase: the text keys and both sides' parts in the negotiation.
 
-use crate::net::iscsi::frame::{Frames, LARGEST_SEGMENT, Unreadable};
-use crate::net::iscsi::pdu::{Login, Pdu, Sequence};
+use crate::frame::{Frames, LARGEST_SEGMENT, Unreadable};
+use crate::pdu::{Login, Pdu, Sequence};
 use bytes::Bytes;
 use std::collections::BTreeMap;
 use std::io;
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -76,7 +76,7 @@
             Ok(summary) => print!("{summary}"),
             Err(error) => return fail(2, &error),
         },
-        Command::Check { operator } => match config(operator).and_then(|c| node::check(&c).map(|()| c)) {
+        Command::Check { operator } => match config(operator) {
             Ok(config) => println!("{config}"),
             Err(error) => return fail(2, &error),
         },
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,8 +1,10 @@
 //! The one place where configuration is read, checked and given defaults: the environment and the JSON that
 //! the platform hands over.
 
+use crate::names::Names;
 use crate::net::http::Page;
 use crate::net::iscsi::Lun;
+use crate::rules::Gateway;
 use crate::settings::Settings;
 use serde::Deserialize;
 use std::collections::HashMap;
@@ -159,7 +161,7 @@
             .ok_or_else(|| ConfigError::new("LB_LISTEN", "is not set, and the file has no `listen`"))?;
         let iscsi = operator.map(|path| Operator::read(path, &file.settings)).transpose()?.flatten();
         let seed = file.seed.as_deref().unwrap_or("0");
-        Ok(Config {
+        let config = Config {
             name: pick("LB_NAME", "name", file.name).map_or("rowanglade".to_string(), |(_, name)| name),
             listen: address(listen)?,
             discovery: pick("LB_DISCOVERY", "discovery", file.discovery).map(address).transpose()?,
@@ -169,7 +171,19 @@
             settings: file.settings,
             limits: file.limits.check()?,
             iscsi,
-        })
+        };
+        config.decide()?;
+        Ok(config)
+    }
+
+    /// The module and the names, from the settings.
+    pub fn decide(&self) -> Result<(Gateway, Names), ConfigError> {
+        let mut names = Names::default();
+        let settings = self.settings.translate(&mut names);
+        let gateway = settings
+            .and_then(|s| Gateway::new(s, self.seed))
+            .map_err(|e| ConfigError::new(format!("settings.{}", e.field), e.problem))?;
+        Ok((gateway, names))
     }
 }
 
@@ -187,7 +201,6 @@
     ) -> Result<Reload, ConfigError> {
         let at_start = |name: &str| env(name).filter(|_| name != "LB_DISCOVERY");
         let config = Config::load(at_start, operator)?;
-        crate::node::check(&config)?;
         Ok(Reload { discovery: config.discovery })
     }
 }
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -1,10 +1,9 @@
 //! The module's actor: it alone owns the [`Gateway`], its timers and the requests that are open.
 
+use crate::core::attempt::{Attempt, Connect, Probe, ProbeReport, Report, TargetMessage};
 use crate::core::clock::{Clock, micros};
-use crate::core::mailbox::{Ids, Inbox, ProbeReport, Report};
-use crate::core::message::{
-    Answer, Attempt, Connect, ListMessage, Listed, Message, Order, Probe, Reply, TargetMessage, Wire,
-};
+use crate::core::mailbox::{Ids, Inbox};
+use crate::core::message::{Answer, ListMessage, Listed, Message, Order, Reply, Wire};
 use crate::interface::{
     Action, Attempt as Number, Entry, Event, KeyId, ListKind, Load, Micros, NodeId, NodeState, Outcome,
     Request, RequestId, ShardId,
--- /dev/null
+++ b/src/core/attempt.rs
@@ -0,0 +1,102 @@
+//! Attempts and probes on their way to a target's actor, and the promises that the core will hear how they ended.
+
+use crate::core::clock::Clock;
+use crate::core::message::{Listed, Message, Order, Reply};
+use crate::interface::{Attempt as Number, Load, Micros, NodeId, Outcome, RequestId};
+use std::rc::Rc;
+use tokio::sync::mpsc::{self, OwnedPermit};
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// An attempt, as its target's actor gets it.
+#[derive(Debug)]
+pub struct Attempt {
+    pub order: Rc<Order>,
+    /// When the initiator stops waiting.
+    pub until: Instant,
+    /// Resolves, or breaks, when the core gives the attempt up.
+    pub cancel: oneshot::Receiver<()>,
+    pub report: Report,
+}
+
+/// A check of a target.
+#[derive(Debug)]
+pub struct Probe {
+    pub until: Instant,
+    pub report: ProbeReport,
+}
+
+/// What a target's actor is asked.
+#[derive(Debug)]
+pub enum TargetMessage {
+    Attempt(Attempt),
+    Probe(Probe),
+}
+
+/// Makes the actor of a target, which lives as long as its mailbox is held.
+pub type Connect = Box<dyn Fn(&Listed) -> mpsc::Sender<TargetMessage>>;
+
+/// The duty to tell how an attempt ended. Dropped untold, it counts as broken: it may have run.
+#[derive(Debug)]
+pub struct Report {
+    to: Option<(RequestId, Number, OwnedPermit<Message>)>,
+}
+
+impl Report {
+    pub(super) fn new(id: RequestId, number: Number, place: OwnedPermit<Message>) -> Report {
+        Report { to: Some((id, number, place)) }
+    }
+
+    pub fn tell(mut self, reply: Reply) {
+        self.send(reply);
+    }
+
+    /// Nothing was sent, and the core knows.
+    pub(super) fn forget(mut self) {
+        self.to = None;
+    }
+
+    fn send(&mut self, reply: Reply) {
+        if let Some((id, number, place)) = self.to.take() {
+            place.send(Message::Ended { id, number, reply });
+        }
+    }
+}
+
+impl Drop for Report {
+    fn drop(&mut self) {
+        self.send(Reply::bare(Outcome::Broken));
+    }
+}
+
+/// The duty to tell how a probe ended. Dropped untold, it was not sent.
+#[derive(Debug)]
+pub struct ProbeReport {
+    node: NodeId,
+    sent: Micros,
+    clock: Clock,
+    place: Option<OwnedPermit<Message>>,
+}
+
+impl ProbeReport {
+    pub(super) fn new(node: NodeId, sent: Micros, clock: Clock, place: OwnedPermit<Message>) -> ProbeReport {
+        ProbeReport { node, sent, clock, place: Some(place) }
+    }
+
+    pub fn tell(mut self, outcome: Outcome, load: Load) {
+        self.send(outcome, load);
+    }
+
+    fn send(&mut self, outcome: Outcome, load: Load) {
+        if let Some(place) = self.place.take() {
+            let took = self.clock.now().saturating_sub(self.sent);
+            place.send(Message::Probed { node: self.node, outcome, took, load });
+        }
+    }
+}
+
+impl Drop for ProbeReport {
+    fn drop(&mut self) {
+        self.send(Outcome::NotSent, Load::default());
+    }
+}
--- a/src/core/mailbox.rs
+++ b/src/core/mailbox.rs
@@ -1,8 +1,7 @@
 //! The way to the core, and the promises that it will hear how everything ended.
 
-use crate::core::clock::Clock;
-use crate::core::message::{Answer, Message, Order, Reply};
-use crate::interface::{Attempt, Load, Micros, NodeId, Outcome, RequestId};
+use crate::core::message::{Answer, Message, Order};
+use crate::interface::RequestId;
 use crate::settings::Settings;
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
@@ -169,68 +168,3 @@
         }
     }
 }
-
-/// The duty to tell how an attempt ended. Dropped untold, it counts as broken: it may have run.
-#[derive(Debug)]
-pub struct Report {
-    to: Option<(RequestId, Attempt, OwnedPermit<Message>)>,
-}
-
-impl Report {
-    pub(super) fn new(id: RequestId, number: Attempt, place: OwnedPermit<Message>) -> Report {
-        Report { to: Some((id, number, place)) }
-    }
-
-    pub fn tell(mut self, reply: Reply) {
-        self.send(reply);
-    }
-
-    /// Nothing was sent, and the core knows.
-    pub(super) fn forget(mut self) {
-        self.to = None;
-    }
-
-    fn send(&mut self, reply: Reply) {
-        if let Some((id, number, place)) = self.to.take() {
-            place.send(Message::Ended { id, number, reply });
-        }
-    }
-}
-
-impl Drop for Report {
-    fn drop(&mut self) {
-        self.send(Reply::bare(Outcome::Broken));
-    }
-}
-
-/// The duty to tell how a probe ended. Dropped untold, it was not sent.
-#[derive(Debug)]
-pub struct ProbeReport {
-    node: NodeId,
-    sent: Micros,
-    clock: Clock,
-    place: Option<OwnedPermit<Message>>,
-}
-
-impl ProbeReport {
-    pub(super) fn new(node: NodeId, sent: Micros, clock: Clock, place: OwnedPermit<Message>) -> ProbeReport {
-        ProbeReport { node, sent, clock, place: Some(place) }
-    }
-
-    pub fn tell(mut self, outcome: Outcome, load: Load) {
-        self.send(outcome, load);
-    }
-
-    fn send(&mut self, outcome: Outcome, load: Load) {
-        if let Some(place) = self.place.take() {
-            let took = self.clock.now().saturating_sub(self.sent);
-            place.send(Message::Probed { node: self.node, outcome, took, load });
-        }
-    }
-}
-
-impl Drop for ProbeReport {
-    fn drop(&mut self) {
-        self.send(Outcome::NotSent, Load::default());
-    }
-}
--- a/src/core/message.rs
+++ b/src/core/message.rs
@@ -1,13 +1,10 @@
 //! What passes between the core and its neighbours, in no wire's words.
 
-use crate::core::mailbox::{ProbeReport, Report};
 use crate::interface::{Attempt as Number, Load, Micros, NodeId, NodeState, Outcome, RequestId};
 use bytes::Bytes;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
-use tokio::time::Instant;
+use tokio::sync::oneshot;
 
 /// A client's request. A front decodes it once; a target encodes it once.
 #[derive(Clone, Debug, PartialEq)]
@@ -68,31 +65,6 @@
     }
 }
 
-/// An attempt, as its target's actor gets it.
-#[derive(Debug)]
-pub struct Attempt {
-    pub order: Rc<Order>,
-    /// When the initiator stops waiting.
-    pub until: Instant,
-    /// Resolves, or breaks, when the core gives the attempt up.
-    pub cancel: oneshot::Receiver<()>,
-    pub report: Report,
-}
-
-/// A check of a target.
-#[derive(Debug)]
-pub struct Probe {
-    pub until: Instant,
-    pub report: ProbeReport,
-}
-
-/// What a target's actor is asked.
-#[derive(Debug)]
-pub enum TargetMessage {
-    Attempt(Attempt),
-    Probe(Probe),
-}
-
 /// Which protocol a target speaks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Wire {
@@ -120,9 +92,6 @@
     Fetch,
 }
 
-/// Makes the actor of a target, which lives as long as its mailbox is held.
-pub type Connect = Box<dyn Fn(&Listed) -> mpsc::Sender<TargetMessage>>;
-
 /// What comes to the core.
 #[derive(Debug)]
 pub enum Message {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -2,11 +2,13 @@
 //! the list. Nothing here knows a wire.
 
 mod actor;
+mod attempt;
 mod clock;
 mod mailbox;
 mod message;
 
 pub use actor::Core;
+pub use attempt::{Attempt, Connect, Probe, ProbeReport, Report, TargetMessage};
 pub use clock::{Clock, micros};
-pub use mailbox::{Handle, Inbox, Pending, ProbeReport, Report, Unfit, mailbox};
+pub use mailbox::{Handle, Inbox, Pending, Unfit, mailbox};
 pub use message::*;
--- a/src/net/iscsi/front.rs
+++ b/src/net/iscsi/front.rs
@@ -1,14 +1,14 @@
 //! Sessions that come in: this side is the target.
 
 use crate::core::{Answer, Handle, Order, Unfit};
-use crate::net::iscsi::frame::{Frames, LARGEST_SEGMENT, Unreadable};
-use crate::net::iscsi::login::{self, Session as Settled};
-use crate::net::iscsi::pdu::{Header, NO_TAG, Pdu, RejectReason, Residual, Sequence};
-use crate::net::iscsi::scsi::{self, Command, Sense};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use futures_util::future::{AbortHandle, Abortable, LocalBoxFuture};
 use futures_util::stream::FuturesUnordered;
+use rowanglade_iscsi::frame::{Frames, LARGEST_SEGMENT, Unreadable};
+use rowanglade_iscsi::login::{self, Session as Settled};
+use rowanglade_iscsi::pdu::{Header, NO_TAG, Pdu, RejectReason, Residual, Sequence};
+use rowanglade_iscsi::scsi::{self, Command, Sense};
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::io;
--- a/src/net/iscsi/mod.rs
+++ b/src/net/iscsi/mod.rs
@@ -7,14 +7,8 @@
 //! SNACK and task reassignment are left out and rejected. Where a client is refused, the SCSI Response's status
 //! qualifier (RFC 7144) says when to come back, in tenths of a second.
 
-mod frame;
 mod front;
-mod login;
-mod pdu;
-mod scsi;
 mod session;
 
-pub use frame::{Frames, Unreadable};
 pub use front::{Front, Lun, serve};
-pub use pdu::{Header, Login, NO_TAG, Pdu, Residual, Sequence};
 pub use session::{Figures, connect};
--- a/src/net/iscsi/session.rs
+++ b/src/net/iscsi/session.rs
@@ -2,14 +2,14 @@
 
 use crate::core::{Attempt, Handle, Listed, Message, Probe, Reply, Report, TargetMessage, Wire, micros};
 use crate::interface::{ListKind, Load, NodeState, Outcome};
-use crate::net::iscsi::frame::{Frames, LARGEST_SEGMENT};
-use crate::net::iscsi::login::{self, Session as Settled};
-use crate::net::iscsi::pdu::{NO_TAG, Pdu, Residual};
-use crate::net::iscsi::scsi::{self, Command};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream::FuturesUnordered;
+use rowanglade_iscsi::frame::{Frames, LARGEST_SEGMENT};
+use rowanglade_iscsi::login::{self, Session as Settled};
+use rowanglade_iscsi::pdu::{NO_TAG, Pdu, Residual};
+use rowanglade_iscsi::scsi::{self, Command};
 use std::collections::{HashMap, VecDeque};
 use std::io;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
--- a/src/node.rs
+++ b/src/node.rs
@@ -3,9 +3,7 @@
 use crate::config::{Config, ConfigError, Iscsi, Limits, Reload};
 use crate::core::{self, Clock, Connect, Core, Handle, Listed, Message, Wire};
 use crate::interface::{ListKind, NodeState};
-use crate::names::Names;
 use crate::net::{http, iscsi};
-use crate::rules::Gateway;
 use crate::settings::Settings;
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -58,21 +56,6 @@
     }
 }
 
-/// The module and the names, from the settings.
-fn decide(config: &Config) -> Result<(Gateway, Names), ConfigError> {
-    let mut names = Names::default();
-    let settings = config.settings.translate(&mut names);
-    let gateway = settings
-        .and_then(|s| Gateway::new(s, config.seed))
-        .map_err(|e| ConfigError::new(format!("settings.{}", e.field), e.problem))?;
-    Ok((gateway, names))
-}
-
-/// Whether the configuration could be served.
-pub fn check(config: &Config) -> Result<(), ConfigError> {
-    decide(config).map(|_| ())
-}
-
 /// Serves until SIGTERM or SIGINT, then finishes what is held. At SIGHUP it takes over what `reload` reads.
 pub async fn serve(
     config: Config,
@@ -135,7 +118,7 @@
     /// Starts the core, the list and the listeners.
     pub async fn start(config: Config) -> Result<Node, Error> {
         let clock = Clock::start();
-        let (gateway, names) = decide(&config).map_err(Error::Config)?;
+        let (gateway, names) = config.decide().map_err(Error::Config)?;
         let http = TcpListener::bind(config.listen).await?;
         let iscsi = match config.iscsi {
             Some(iscsi) => Some((TcpListener::bind(iscsi.listen).await?, iscsi)),
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -1,7 +1,6 @@
 //! Configuration: what is told, and the key that an error names.
 
 use rowanglade::config::Config;
-use rowanglade::node;
 use std::path::PathBuf;
 
 const EXAMPLE: &str = include_str!("../deploy/example.json");
@@ -19,7 +18,7 @@
         "LB_CONFIG" => Some(config.display().to_string()),
         _ => variables.iter().find(|(n, _)| *n == name).map(|(_, v)| v.to_string()),
     };
-    let loaded = Config::load(env, Some(&toml)).and_then(|c| node::check(&c).map(|()| c));
+    let loaded = Config::load(env, Some(&toml));
     std::fs::remove_dir_all(&dir).expect("removed");
     loaded.map_err(|e| e.to_string())
 }
--- a/tests/network/iscsi.rs
+++ b/tests/network/iscsi.rs
@@ -4,7 +4,7 @@
 use crate::site::{Running, ask, request, start, story};
 use bytes::Bytes;
 use insta::assert_snapshot;
-use rowanglade::net::iscsi::*;
+use rowanglade_iscsi::*;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
