Read HAR files and access logs as streams and keep them as traces (crates/capture)

Need: the load command read whole files into memory, stopped at the first bad line and could not hand its requests on. Members' recorded traffic has to become load that can be sent again.

Change: crates/capture streams HAR 1.2, Common and Combined logs and the daemon's own log line, plain, gzip or zstd. Bad entries are counted, sampled with place and reason, and bounded by a share. A checked TOML mapping gives each request its class, plan, volume, piece, units, shard, hosts and deadline; what it does not know is reported by pattern; names can be hashed under a key. Lines out of order are merged within a window. A versioned, checksummed, compressed trace is written by capture import and read by inspect and cut.

--- /dev/null
+++ b/crates/capture/src/access_log.rs
@@ -0,0 +1,153 @@
+//! Access logs in the Common Log Format and the Combined one, as web servers write them. A last field beyond
+//! the Combined Format's (or the Common one's) is read as the time that the answer took, in seconds if it has a
+//! decimal point and in microseconds if it is whole.
+
+use crate::offer::Offer;
+use jiff::fmt::strtime;
+use std::borrow::Cow;
+
+/// Reads lines; it remembers the last time it read, since the lines of a second share theirs.
+#[derive(Debug, Default)]
+pub struct Parser {
+    text: String,
+    at: i64,
+}
+
+/// The next field: in quotes, in brackets, or up to a space.
+fn field<'a>(rest: &mut &'a str) -> Option<&'a str> {
+    let text = rest.trim_start_matches(' ');
+    let (open, close) = match text.as_bytes().first()? {
+        b'"' => (1, b'"'),
+        b'[' => (1, b']'),
+        _ => (0, b' '),
+    };
+    let body = &text[open..];
+    let mut escaped = false;
+    let end = body.bytes().position(|b| {
+        let ends = b == close && !escaped;
+        escaped = b == b'\\' && !escaped;
+        ends
+    });
+    let end = match (end, open) {
+        (Some(end), _) => end,
+        (None, 0) => body.len(),
+        // A quote or a bracket without its end.
+        (None, _) => return None,
+    };
+    *rest = &body[(end + open).min(body.len())..];
+    Some(&body[..end])
+}
+
+impl Parser {
+    /// The request of a line; none for an empty line, a comment, and the line of a connection that never made
+    /// one. An error names the field.
+    pub fn parse<'a>(&mut self, line: &'a [u8]) -> Result<Option<Offer<'a>>, String> {
+        let line = std::str::from_utf8(line).map_err(|_| "is not UTF-8".to_string())?.trim();
+        if line.is_empty() || line.starts_with('#') {
+            return Ok(None);
+        }
+        let mut rest = line;
+        let mut next = |name: &str| field(&mut rest).ok_or_else(|| format!("{name}: is missing"));
+        let (host, _identity, _user) = (next("host")?, next("identity")?, next("user")?);
+        let time = next("time")?;
+        if time != self.text || self.text.is_empty() {
+            self.at = strtime::parse("%d/%b/%Y:%H:%M:%S %z", time)
+                .and_then(|t| t.to_timestamp())
+                .map_err(|e| format!("time: {time:?}: {e}"))?
+                .as_microsecond();
+            self.text = time.to_string();
+        }
+        let request = next("request")?;
+        if request == "-" {
+            return Ok(None);
+        }
+        let mut words = request.split_ascii_whitespace();
+        let (method, target) = match (words.next(), words.next(), words.next(), words.next()) {
+            (Some(method), Some(target), Some(version), None) if version.starts_with("HTTP/") => {
+                (method, target)
+            }
+            _ => return Err(format!("request: {request:?} is not one")),
+        };
+        let (status, size) = (next("status")?, next("size")?);
+        let (referer, agent, taken) = (next("referer").ok(), next("agent").ok(), next("time taken").ok());
+        let took = taken.or(if agent.is_none() { referer } else { None });
+        let target = target.split('#').next().unwrap_or(target);
+        let (path, query) = match target.split_once('?') {
+            Some((path, query)) => (path, Some(Cow::Borrowed(query))),
+            None => (target, None),
+        };
+        let received = match size {
+            "-" => 0,
+            size => size.parse().map_err(|_| format!("size: {size:?} is not one"))?,
+        };
+        Ok(Some(Offer {
+            at: self.at,
+            whole_second: true,
+            method: Cow::Borrowed(method),
+            path: Cow::Borrowed(path),
+            query,
+            client: host.trim_matches(['[', ']']).parse().ok(),
+            status: status
+                .parse()
+                .ok()
+                .filter(|s| (100..1000).contains(s))
+                .ok_or_else(|| format!("status: {status:?} is not one"))?,
+            sent: 0,
+            received,
+            took: took.and_then(microseconds),
+            key: None,
+            known: None,
+        }))
+    }
+}
+
+fn microseconds(text: &str) -> Option<u64> {
+    let value: f64 = text.parse().ok().filter(|v: &f64| v.is_finite() && (0.0..1e12).contains(v))?;
+    Some(if text.contains('.') { (value * 1e6).round() as u64 } else { value as u64 })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn one(line: &str) -> Result<Offer<'_>, String> {
+        Parser::default().parse(line.as_bytes()).map(|o| o.expect("a request"))
+    }
+
+    const PUT: &str = r#"2001:db8::7 - - [25/Oct/2026:01:30:00 +0100] "PUT /deposit/1/b HTTP/1.1" 503 -"#;
+
+    #[test]
+    fn ipv6_escaped_quotes_and_the_time_taken_are_read() {
+        let put = one(PUT).expect("a line");
+        assert_eq!(put.client, Some("2001:db8::7".parse().expect("an address")));
+        assert_eq!((put.took, put.status, put.received), (None, 503, 0));
+        let agent = PUT.to_string() + r#" "http://x/\"q\" [y]" "viewer \"1\" \\" 0.25"#;
+        assert_eq!(one(&agent).expect("a line").took, Some(250_000));
+        assert_eq!(one(&(PUT.to_string() + " 1500")).expect("a line").took, Some(1_500));
+        let bracketed = PUT.replace("2001:db8::7", "[2001:db8::7]");
+        assert_eq!(one(&bracketed).map(|o| o.client.is_some()), Ok(true));
+    }
+
+    // The clocks go back at 02:00 +0100: the same wall time comes twice, and only the offset tells the two apart.
+    #[test]
+    fn an_offset_that_changes_keeps_the_order_of_time() {
+        let mut parser = Parser::default();
+        let mut at = |offset: &str| {
+            let line = PUT.replace("+0100", offset);
+            parser.parse(line.as_bytes()).expect("a line").expect("a request").at
+        };
+        assert_eq!(at("+0000") - at("+0100"), 3_600_000_000);
+        assert_eq!(at("+0100") - at("+0100"), 0);
+    }
+
+    #[test]
+    fn a_bad_line_names_its_field() {
+        let bad = |from: &str, to: &str| one(&PUT.replace(from, to)).expect_err("bad");
+        assert!(bad("25/Oct", "32/Oct").starts_with("time: \"32/Oct"));
+        assert!(bad(" 503 ", " 7 ").starts_with("status"));
+        assert!(bad(" 503 -", "").starts_with("status: is missing"));
+        assert!(bad("\"PUT /deposit/1/b HTTP/1.1\"", "\"PUT\"").starts_with("request"));
+        assert!(bad("HTTP/1.1\"", "HTTP/1.1").starts_with("request: is missing"));
+        assert!(Parser::default().parse(b"caf\xe9 - -").expect_err("bad").contains("UTF-8"));
+    }
+}
--- /dev/null
+++ b/crates/capture/src/har.rs
@@ -0,0 +1,208 @@
+//! HTTP Archive files, version 1.2, entry by entry: only the entry at hand is held.
+
+use crate::offer::Offer;
+use serde::Deserialize;
+use serde::de::{DeserializeSeed, Deserializer, IgnoredAny, MapAccess, SeqAccess, Visitor};
+use serde_json::value::RawValue;
+use std::borrow::Cow;
+use std::fmt;
+use std::io::Read;
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Entry<'a> {
+    #[serde(borrow)]
+    started_date_time: Cow<'a, str>,
+    /// Milliseconds; negative where it is not known.
+    time: Option<f64>,
+    #[serde(borrow)]
+    request: Request<'a>,
+    response: Response,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Request<'a> {
+    #[serde(borrow)]
+    method: Cow<'a, str>,
+    #[serde(borrow)]
+    url: Cow<'a, str>,
+    body_size: Option<i64>,
+    #[serde(borrow, default)]
+    headers: Vec<Field<'a>>,
+}
+
+#[derive(Deserialize)]
+struct Field<'a> {
+    #[serde(borrow)]
+    name: Cow<'a, str>,
+    #[serde(borrow)]
+    value: Cow<'a, str>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Response {
+    status: i64,
+    body_size: Option<i64>,
+    content: Option<Content>,
+}
+
+#[derive(Deserialize)]
+struct Content {
+    size: Option<i64>,
+}
+
+/// Where an entry goes: its number, from 1, and its text. False: no more is wanted.
+pub type Sink<'s> = dyn FnMut(u64, &str) -> bool + 's;
+
+/// Hands the text of every entry of `log.entries` on.
+///
+/// # Errors
+/// What is wrong with the file around its entries: it is no JSON from there on, or has no `log.entries`.
+/// Entries before that place have been handed on.
+pub fn entries(from: impl Read, sink: &mut Sink<'_>) -> Result<(), serde_json::Error> {
+    let (mut stopped, mut found) = (false, false);
+    let mut json = serde_json::Deserializer::from_reader(from);
+    let within = Within { path: &["log", "entries"], sink, stopped: &mut stopped, found: &mut found };
+    let end = within.deserialize(&mut json).and_then(|()| json.end());
+    match end {
+        _ if stopped => Ok(()),
+        Ok(()) if !found => Err(serde::de::Error::custom("has no `log.entries`")),
+        end => end,
+    }
+}
+
+/// The value at the end of a path of keys, which is a list of entries.
+struct Within<'a, 's> {
+    path: &'a [&'a str],
+    sink: &'a mut Sink<'s>,
+    stopped: &'a mut bool,
+    found: &'a mut bool,
+}
+
+impl<'de> DeserializeSeed<'de> for Within<'_, '_> {
+    type Value = ();
+
+    fn deserialize<D: Deserializer<'de>>(self, json: D) -> Result<(), D::Error> {
+        if self.path.is_empty() { json.deserialize_seq(self) } else { json.deserialize_map(self) }
+    }
+}
+
+impl<'de> Visitor<'de> for Within<'_, '_> {
+    type Value = ();
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.path.first() {
+            Some(key) => write!(f, "an object with `{key}`"),
+            None => f.write_str("a list of entries"),
+        }
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<(), A::Error> {
+        let Some((key, deeper)) = self.path.split_first() else { return Ok(()) };
+        while let Some(name) = map.next_key::<String>()? {
+            if name == *key {
+                let within =
+                    Within { path: deeper, sink: self.sink, stopped: self.stopped, found: self.found };
+                map.next_value_seed(within)?;
+            } else {
+                map.next_value::<IgnoredAny>()?;
+            }
+        }
+        Ok(())
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut list: A) -> Result<(), A::Error> {
+        *self.found = true;
+        let mut number = 0;
+        while let Some(entry) = list.next_element::<Box<RawValue>>()? {
+            number += 1;
+            if !(self.sink)(number, entry.get()) {
+                *self.stopped = true;
+                return Err(serde::de::Error::custom("stopped"));
+            }
+        }
+        Ok(())
+    }
+}
+
+/// The request of an entry; none for one that never went to a server (`data:` and the like). An error names the
+/// key.
+pub fn parse(text: &str) -> Result<Option<Offer<'_>>, String> {
+    let entry: Entry = serde_json::from_str(text).map_err(|e| e.to_string())?;
+    let at: jiff::Timestamp = entry.started_date_time.parse().map_err(|e| format!("startedDateTime: {e}"))?;
+    let url = &entry.request.url;
+    if ["data:", "blob:", "about:"].iter().any(|scheme| url.starts_with(scheme)) {
+        return Ok(None);
+    }
+    let uri: http::Uri = url.parse().map_err(|e| format!("request.url: {url:?}: {e}"))?;
+    if uri.scheme().is_none() {
+        return Err(format!("request.url: {url:?} is not whole"));
+    }
+    // -1 stands for what is not known.
+    let size = |s: Option<i64>| s.and_then(|s| u64::try_from(s).ok());
+    let received = size(entry.response.body_size).or(entry.response.content.and_then(|c| size(c.size)));
+    let key = entry.request.headers.into_iter().find(|h| h.name.eq_ignore_ascii_case("idempotency-key"));
+    let took = entry.time.filter(|t| t.is_finite() && (0.0..1e9).contains(t));
+    Ok(Some(Offer {
+        at: at.as_microsecond(),
+        whole_second: false,
+        path: Cow::Owned(uri.path().to_string()),
+        query: uri.query().map(|q| Cow::Owned(q.to_string())),
+        method: entry.request.method,
+        client: None,
+        status: u16::try_from(entry.response.status)
+            .map_err(|_| format!("response.status: {} is not one", entry.response.status))?,
+        sent: size(entry.request.body_size).unwrap_or(0),
+        received: received.unwrap_or(0),
+        took: took.map(|ms| (ms * 1e3).round() as u64),
+        key: key.map(|h| h.value),
+        known: None,
+    }))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const ENTRY: &str = r#"{"startedDateTime":"2026-12-01T09:00:00.250-05:00","time":12.5,
+        "request":{"method":"PUT","url":"http://store/deposit/1/b?x=1","bodySize":300,
+        "headers":[{"name":"idempotency-Key","value":"k\"1"}]},"response":{"status":200,"bodySize":-1,
+        "content":{"size":12}}}"#;
+
+    #[test]
+    fn an_entry_tells_its_key_and_what_is_unknown_stays_so() {
+        let offer = parse(ENTRY).expect("an entry").expect("a request");
+        assert_eq!(offer.key.as_deref(), Some("k\"1"));
+        assert_eq!((offer.sent, offer.received, offer.took), (300, 12, Some(12_500)));
+        assert_eq!((&*offer.path, offer.query.as_deref()), ("/deposit/1/b", Some("x=1")));
+        let unknown = ENTRY.replace("12.5", "-1");
+        assert_eq!(parse(&unknown).expect("an entry").expect("a request").took, None);
+        let data = ENTRY.replace("http://store/deposit/1/b?x=1", "data:image/png;base64,AAAA");
+        assert_eq!(parse(&data), Ok(None));
+        assert!(parse(&ENTRY.replace("http://store", "")).expect_err("bad").starts_with("request.url"));
+        assert!(
+            parse(&ENTRY.replace("2026-12-01T", "yesterday")).expect_err("bad").starts_with("startedDate")
+        );
+        assert!(parse(&ENTRY.replace("\"status\":200,", "")).expect_err("bad").contains("status"));
+    }
+
+    #[test]
+    fn entries_before_the_place_where_a_file_is_torn_are_read() {
+        let whole = format!(r#"{{"log":{{"version":"1.2","entries":[{ENTRY},7,{ENTRY}],"pages":[]}}}}"#);
+        let count = |text: &str| {
+            let mut seen = Vec::new();
+            let end = entries(text.as_bytes(), &mut |n, entry| {
+                seen.push((n, parse(entry).is_ok()));
+                true
+            });
+            (seen, end.map_err(|e| e.to_string()))
+        };
+        assert_eq!(count(&whole), (vec![(1, true), (2, false), (3, true)], Ok(())));
+        let (seen, end) = count(&whole[..whole.len() - 40]);
+        assert_eq!(seen, [(1, true), (2, false)]);
+        assert!(end.expect_err("torn").contains("EOF"));
+        assert!(count(r#"{"log":{}}"#).1.expect_err("none").contains("log.entries"));
+    }
+}
--- /dev/null
+++ b/crates/capture/src/lib.rs
@@ -0,0 +1,29 @@
+//! Recorded traffic as a source of load.
+//!
+//! What a member's viewer or a server wrote down becomes requests that can be sent again: [`read`] streams the
+//! entries of a HAR file or of an access log, a [`mapping`] says which request of the store each one stands for,
+//! [`order`] puts them in the order in which they were made, and a [`trace`] keeps them. [`import`] is all of it
+//! in one call. Nothing here sends anything, and nothing holds a whole file: a log of any length is read in the
+//! memory of one line and of the window within which lines may be out of order.
+#![forbid(unsafe_code)]
+
+pub mod access_log;
+pub mod cut;
+pub mod har;
+pub mod import;
+pub mod lines;
+pub mod mapping;
+pub mod offer;
+pub mod order;
+pub mod own_log;
+pub mod read;
+pub mod summary;
+pub mod trace;
+
+pub use cut::Cut;
+pub use import::{Import, Imported, import};
+pub use mapping::{Mapping, MappingError};
+pub use offer::{Known, Offer};
+pub use read::{Format, ReadError, Stats, Tolerance};
+pub use summary::Summary;
+pub use trace::{ClassTerms, Header, PlanTerms, Record, Repeat, TraceError, TraceReader, TraceWriter};
--- /dev/null
+++ b/crates/capture/src/lines.rs
@@ -0,0 +1,93 @@
+//! Lines of bytes, each within a bound: a line of a megabyte is passed over without being held.
+
+use std::io::{self, BufRead};
+
+/// The longest line that is taken, in bytes. Request lines of web servers end at 8 KiB as a rule.
+pub const LONGEST: usize = 64 * 1024;
+
+/// A line, without its end.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Line<'a> {
+    Whole(&'a [u8]),
+    /// One of more than [`LONGEST`] bytes: how many.
+    TooLong(u64),
+}
+
+/// Takes a stream apart into lines. The last one need not end.
+#[derive(Debug)]
+pub struct Lines<R> {
+    from: R,
+    held: Vec<u8>,
+    number: u64,
+}
+
+impl<R: BufRead> Lines<R> {
+    pub fn new(from: R) -> Lines<R> {
+        Lines { from, held: Vec::new(), number: 0 }
+    }
+
+    /// The number of the line that was read last, from 1.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// The next line; none at the end.
+    ///
+    /// # Errors
+    /// Those of the stream. What was read of a line up to there is lost with it.
+    pub fn next_line(&mut self) -> io::Result<Option<Line<'_>>> {
+        self.held.clear();
+        let mut length: u64 = 0;
+        loop {
+            let chunk = match self.from.fill_buf() {
+                Ok(chunk) => chunk,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                Err(e) => return Err(e),
+            };
+            if chunk.is_empty() {
+                if length == 0 {
+                    return Ok(None);
+                }
+                break;
+            }
+            let end = memchr::memchr(b'\n', chunk);
+            let part = end.unwrap_or(chunk.len());
+            if self.held.len() + part <= LONGEST {
+                self.held.extend_from_slice(&chunk[..part]);
+            } else {
+                // Beyond the bound only the length is kept.
+                self.held.resize(LONGEST + 1, 0);
+            }
+            length += part as u64 + u64::from(end.is_some());
+            self.from.consume(part + usize::from(end.is_some()));
+            if end.is_some() {
+                break;
+            }
+        }
+        self.number += 1;
+        if self.held.len() > LONGEST {
+            return Ok(Some(Line::TooLong(length)));
+        }
+        let line = self.held.strip_suffix(b"\r").unwrap_or(&self.held);
+        Ok(Some(Line::Whole(line)))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::{BufReader, Read};
+
+    // A line of a megabyte must neither fill the memory nor take the next line with it.
+    #[test]
+    fn a_line_of_a_megabyte_is_told_and_the_next_one_read() {
+        let long = io::repeat(b'x').take(1 << 20);
+        let stream = BufReader::with_capacity(100, b"a\r\n".chain(long).chain(&b"\nb"[..]));
+        let mut lines = Lines::new(stream);
+        assert_eq!(lines.next_line().expect("read"), Some(Line::Whole(b"a")));
+        assert_eq!(lines.next_line().expect("read"), Some(Line::TooLong((1 << 20) + 1)));
+        assert!(lines.held.capacity() < 4 * LONGEST, "{}", lines.held.capacity());
+        assert_eq!(lines.next_line().expect("read"), Some(Line::Whole(b"b")));
+        assert_eq!((lines.number(), lines.next_line().expect("read")), (3, None));
+    }
+}
--- /dev/null
+++ b/crates/capture/src/offer.rs
@@ -0,0 +1,57 @@
+//! A request as some source recorded it, before anything says what it means to the store.
+
+use std::borrow::Cow;
+use std::net::IpAddr;
+
+/// One recorded request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Offer<'a> {
+    /// When it was made, in microseconds of Unix time.
+    pub at: i64,
+    /// The source tells no more of the time than its second.
+    pub whole_second: bool,
+    pub method: Cow<'a, str>,
+    /// The path, without a query.
+    pub path: Cow<'a, str>,
+    /// The query, without its question mark.
+    pub query: Option<Cow<'a, str>>,
+    pub client: Option<IpAddr>,
+    /// 0 where no answer came.
+    pub status: u16,
+    /// Bytes of the request's body; 0 where the source does not tell.
+    pub sent: u64,
+    /// Bytes of the answer's body.
+    pub received: u64,
+    /// How long the answer took, in microseconds, where the source tells.
+    pub took: Option<u64>,
+    /// The key by which a repeat is known, where the source tells.
+    pub key: Option<Cow<'a, str>>,
+    /// What the daemon's own log tells beyond that.
+    pub known: Option<Known<'a>>,
+}
+
+/// What the daemon knew of a request that it logged.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Known<'a> {
+    pub class: Cow<'a, str>,
+    pub plan: Option<Cow<'a, str>>,
+    pub volume: u64,
+    pub piece: u64,
+    pub units: f64,
+    /// Absent: a new object.
+    pub shard: Option<u32>,
+    pub hosts: u32,
+    pub deadline_ms: u32,
+}
+
+impl Offer<'_> {
+    /// The larger of the two bodies, in bytes: what the request moved.
+    pub fn bytes(&self) -> u64 {
+        self.sent.max(self.received)
+    }
+
+    /// Whether it had no answer, or one that tells of an error.
+    pub fn failed(&self) -> bool {
+        self.status >= 400 || self.status == 0
+    }
+}
--- /dev/null
+++ b/crates/capture/src/order.rs
@@ -0,0 +1,145 @@
+//! The order in which requests were made, out of the one in which they were written down.
+//!
+//! Servers log a request when it ends, browsers when they like. Whatever comes within a window of the newest time
+//! seen is put in order; what comes later than that is let through at the earliest time that is still open, and
+//! counted, so that nothing is lost.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+/// Puts items in order of their times, in microseconds. Items of one time keep the order they came in.
+#[derive(Debug)]
+pub struct Merger<T> {
+    window: i64,
+    most: usize,
+    held: BinaryHeap<Reverse<Held<T>>>,
+    newest: i64,
+    /// The time of the last item let go.
+    gone: i64,
+    arrived: u64,
+    late: u64,
+    latest_by: i64,
+    crowded: u64,
+}
+
+#[derive(Debug)]
+struct Held<T> {
+    at: i64,
+    arrived: u64,
+    item: T,
+}
+
+impl<T> PartialEq for Held<T> {
+    fn eq(&self, other: &Held<T>) -> bool {
+        (self.at, self.arrived) == (other.at, other.arrived)
+    }
+}
+impl<T> Eq for Held<T> {}
+impl<T> PartialOrd for Held<T> {
+    fn partial_cmp(&self, other: &Held<T>) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl<T> Ord for Held<T> {
+    fn cmp(&self, other: &Held<T>) -> std::cmp::Ordering {
+        (self.at, self.arrived).cmp(&(other.at, other.arrived))
+    }
+}
+
+impl<T> Merger<T> {
+    /// Holds items back for `window` microseconds of their own time, and at most `most` of them.
+    pub fn new(window: i64, most: usize) -> Merger<T> {
+        Merger {
+            window: window.max(0),
+            most: most.max(1),
+            held: BinaryHeap::new(),
+            newest: i64::MIN,
+            gone: i64::MIN,
+            arrived: 0,
+            late: 0,
+            latest_by: 0,
+            crowded: 0,
+        }
+    }
+
+    /// Takes an item.
+    pub fn push(&mut self, at: i64, item: T) {
+        self.newest = self.newest.max(at);
+        if at < self.gone {
+            self.late += 1;
+            self.latest_by = self.latest_by.max(self.gone.saturating_sub(at));
+        }
+        self.arrived += 1;
+        self.held.push(Reverse(Held { at: at.max(self.gone), arrived: self.arrived, item }));
+    }
+
+    /// The next item whose place is settled, with its time.
+    pub fn pop(&mut self) -> Option<(i64, T)> {
+        let at = self.held.peek()?.0.at;
+        let settled = self.newest.saturating_sub(self.window) > at;
+        if !settled && self.held.len() <= self.most {
+            return None;
+        }
+        self.crowded += u64::from(!settled);
+        self.let_go()
+    }
+
+    /// The next item, once no more will come.
+    pub fn finish(&mut self) -> Option<(i64, T)> {
+        self.let_go()
+    }
+
+    fn let_go(&mut self) -> Option<(i64, T)> {
+        let Reverse(held) = self.held.pop()?;
+        self.gone = held.at;
+        Some((held.at, held.item))
+    }
+
+    /// Items that came later than the window allows, and by how many microseconds the last of them.
+    pub fn late(&self) -> (u64, i64) {
+        (self.late, self.latest_by)
+    }
+
+    /// Items let go before their window had passed, for want of room.
+    pub fn crowded(&self) -> u64 {
+        self.crowded
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn merged(window: i64, most: usize, times: &[i64]) -> (Vec<(i64, usize)>, Merger<usize>) {
+        let mut merger = Merger::new(window, most);
+        let mut out = Vec::new();
+        for (i, at) in times.iter().enumerate() {
+            merger.push(*at, i);
+            out.extend(std::iter::from_fn(|| merger.pop()));
+        }
+        out.extend(std::iter::from_fn(|| merger.finish()));
+        (out, merger)
+    }
+
+    #[test]
+    fn what_comes_within_the_window_is_put_in_order() {
+        let (out, merger) = merged(10, 100, &[5, 3, 9, 4, 12, 7]);
+        assert_eq!(out, [(3, 1), (4, 3), (5, 0), (7, 5), (9, 2), (12, 4)]);
+        assert_eq!(merger.late(), (0, 0));
+    }
+
+    #[test]
+    fn what_comes_later_is_counted_and_kept() {
+        let (out, merger) = merged(10, 100, &[5, 30, 2, 31]);
+        assert_eq!(out, [(5, 0), (5, 2), (30, 1), (31, 3)]);
+        assert_eq!(merger.late(), (1, 3));
+    }
+
+    // A burst of one time must neither be reordered nor grow without bound.
+    #[test]
+    fn a_burst_keeps_its_order_and_the_bound() {
+        let (out, merger) = merged(10, 3, &[7; 9]);
+        assert_eq!(out.iter().map(|o| o.1).collect::<Vec<_>>(), (0..9).collect::<Vec<_>>());
+        assert_eq!(merger.crowded(), 6);
+    }
+}
--- /dev/null
+++ b/crates/capture/src/trace.rs
@@ -0,0 +1,477 @@
+//! The project's own trace format: requests in the order of their times, ready to be sent again.
+//!
+//! A file is the eight bytes `RWGTRACE`, a version (u16, little endian) and a sequence of frames: a tag, the
+//! length of the payload (u32), a CRC-32C over tag and payload (u32), the payload. `H` holds the [`Header`] as
+//! JSON, so that any version can show what it is; each `B` a block of [`Record`]s, postcard within zstd; `E` the
+//! counts, and nothing comes behind it. A file without its `E` was torn: what it holds up to there is whole.
+
+use serde::{Deserialize, Serialize};
+use std::fs::File;
+use std::io::{self, BufReader, BufWriter, Read, Write};
+use std::os::unix::fs::PermissionsExt;
+use std::path::{Path, PathBuf};
+
+const MAGIC: &[u8; 8] = b"RWGTRACE";
+/// The version that this program writes, and the only one that it reads.
+pub const VERSION: u16 = 1;
+const LEVEL: i32 = 3;
+/// Records of a block.
+const BLOCK: usize = 4_096;
+/// The longest payload of a frame, in bytes, compressed and plain.
+const LONGEST: usize = 16 << 20;
+
+/// What may happen to a request that may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Repeat {
+    /// It may run again.
+    Safe,
+    /// It carries a key, and a repeat of it is dropped for `span_ms` after the first send.
+    Keyed { span_ms: u32 },
+    /// It must never run twice.
+    Once,
+}
+
+/// A class of requests.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ClassTerms {
+    pub name: String,
+    pub write: bool,
+    pub repeat: Repeat,
+    /// An answer within this time is in time.
+    pub aim_ms: u32,
+    /// The longest that a client waits, over all its tries.
+    pub deadline_ms: u32,
+}
+
+/// A plan, as far as a report needs it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PlanTerms {
+    pub name: String,
+    /// Units a second that a volume is sized for.
+    pub rate: f64,
+    /// Units a second that no volume may pass.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limit: Option<f64>,
+}
+
+/// What the requests of a trace have in common.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Header {
+    /// The first request's time, in microseconds of Unix time.
+    pub base_us: i64,
+    /// What it was made of.
+    pub sources: Vec<String>,
+    pub classes: Vec<ClassTerms>,
+    pub plans: Vec<PlanTerms>,
+    /// Volumes, pieces and keys are not what the source had.
+    pub anonymised: bool,
+}
+
+/// A request.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// Microseconds since the header's base.
+    pub at: u64,
+    /// Its place in [`Header::classes`].
+    pub class: u16,
+    /// Its place in [`Header::plans`].
+    pub plan: u16,
+    pub volume: u64,
+    pub piece: u64,
+    pub units: f32,
+    /// Absent: a new object.
+    pub shard: Option<u32>,
+    /// Through how many initiators the volume's requests come.
+    pub hosts: u32,
+    /// How long its client waits, over all tries.
+    pub deadline_ms: u32,
+    /// Bytes that a write carries, or that a read's answer had.
+    pub bytes: u32,
+    /// By which a repeat is known.
+    pub key: Option<u64>,
+    /// The answer that the source recorded, as HTTP has it; 0: none.
+    pub status: u16,
+    /// How long that answer took, in microseconds.
+    pub took: Option<u64>,
+}
+
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct End {
+    records: u64,
+    blocks: u64,
+}
+
+/// Why a trace cannot be read or written.
+#[derive(Debug, thiserror::Error)]
+pub enum TraceError {
+    #[error("{file}: {error}")]
+    Io { file: String, error: io::Error },
+    #[error("{file}: is no trace; `rowanglade capture import` makes one of a HAR file or an access log")]
+    NotATrace { file: String },
+    #[error("{file}: is a trace of version {found}; this program reads version {VERSION}: import it anew")]
+    OtherVersion { file: String, found: u16 },
+    #[error("{file}: is torn at byte {at}, behind {records} whole records: it was not written to its end")]
+    Torn { file: String, at: u64, records: u64 },
+    #[error("{file}: is damaged at byte {at}, behind {records} whole records: {problem}")]
+    Damaged { file: String, at: u64, records: u64, problem: String },
+    #[error("{file}: records are not in the order of their times")]
+    Order { file: String },
+}
+
+/// Writes a trace beside its place and moves it there when it is whole.
+#[derive(Debug)]
+pub struct TraceWriter {
+    path: PathBuf,
+    out: BufWriter<tempfile::NamedTempFile>,
+    block: Vec<Record>,
+    last: u64,
+    end: End,
+}
+
+fn checksum(tag: u8, payload: &[u8]) -> u32 {
+    crc32c::crc32c_append(crc32c::crc32c(&[tag]), payload)
+}
+
+impl TraceWriter {
+    /// # Errors
+    /// The folder cannot be written to.
+    pub fn create(path: &Path, header: &Header) -> Result<TraceWriter, TraceError> {
+        let folder = path.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
+        let mut writer = TraceWriter {
+            path: path.to_path_buf(),
+            out: BufWriter::new(
+                // As any new file's; the mask of the process comes off.
+                tempfile::Builder::new()
+                    .prefix(".trace-")
+                    .permissions(std::fs::Permissions::from_mode(0o666))
+                    .tempfile_in(folder)
+                    .map_err(|error| TraceError::Io { file: path.display().to_string(), error })?,
+            ),
+            block: Vec::with_capacity(BLOCK),
+            last: 0,
+            end: End { records: 0, blocks: 0 },
+        };
+        let json = serde_json::to_vec(header).map_err(|e| writer.io(e.into()))?;
+        let start = [MAGIC.as_slice(), &VERSION.to_le_bytes()].concat();
+        writer.out.write_all(&start).map_err(|e| writer.io(e))?;
+        writer.frame(b'H', &json)?;
+        Ok(writer)
+    }
+
+    fn io(&self, error: io::Error) -> TraceError {
+        TraceError::Io { file: self.path.display().to_string(), error }
+    }
+
+    fn frame(&mut self, tag: u8, payload: &[u8]) -> Result<(), TraceError> {
+        let mut head = vec![tag];
+        head.extend_from_slice(&(payload.len() as u32).to_le_bytes());
+        head.extend_from_slice(&checksum(tag, payload).to_le_bytes());
+        let written = self.out.write_all(&head).and_then(|()| self.out.write_all(payload));
+        written.map_err(|e| self.io(e))
+    }
+
+    /// # Errors
+    /// The disk is full, or the record is earlier than the one before.
+    pub fn push(&mut self, record: Record) -> Result<(), TraceError> {
+        if record.at < self.last {
+            return Err(TraceError::Order { file: self.path.display().to_string() });
+        }
+        self.last = record.at;
+        self.end.records += 1;
+        self.block.push(record);
+        if self.block.len() == BLOCK { self.flush() } else { Ok(()) }
+    }
+
+    fn flush(&mut self) -> Result<(), TraceError> {
+        if self.block.is_empty() {
+            return Ok(());
+        }
+        let plain = postcard::to_stdvec(&self.block).map_err(|e| self.io(io::Error::other(e)))?;
+        let packed = zstd::bulk::compress(&plain, LEVEL).map_err(|e| self.io(e))?;
+        self.end.blocks += 1;
+        self.block.clear();
+        self.frame(b'B', &packed)
+    }
+
+    /// Ends the trace and moves it to its place; returns its records.
+    ///
+    /// # Errors
+    /// The disk is full. What stood at the place still stands there.
+    pub fn finish(mut self) -> Result<u64, TraceError> {
+        self.flush()?;
+        let json = serde_json::to_vec(&self.end).map_err(|e| self.io(e.into()))?;
+        self.frame(b'E', &json)?;
+        let (path, records) = (self.path, self.end.records);
+        let file = |error| TraceError::Io { file: path.display().to_string(), error };
+        let out = self.out.into_inner().map_err(|e| file(e.into_error()))?;
+        out.as_file().sync_all().map_err(file)?;
+        out.persist(&path).map_err(|e| file(e.error))?;
+        Ok(records)
+    }
+}
+
+/// Reads a trace, a block at a time.
+#[derive(Debug)]
+pub struct TraceReader<R> {
+    name: String,
+    from: R,
+    header: Header,
+    at: u64,
+    block: std::vec::IntoIter<Record>,
+    read: End,
+    over: bool,
+}
+
+impl TraceReader<BufReader<File>> {
+    /// # Errors
+    /// It is no trace, one of another version, or torn within its header.
+    pub fn open(path: &Path) -> Result<TraceReader<BufReader<File>>, TraceError> {
+        let name = path.display().to_string();
+        let file = File::open(path).map_err(|error| TraceError::Io { file: name.clone(), error })?;
+        TraceReader::new(name, BufReader::new(file))
+    }
+}
+
+impl<R: Read> TraceReader<R> {
+    /// Reads a stream, which errors call `name`. Errors: as [`TraceReader::open`].
+    pub fn new(name: String, mut from: R) -> Result<TraceReader<R>, TraceError> {
+        let mut start = [0; 10];
+        match from.read_exact(&mut start) {
+            Ok(()) if start.starts_with(MAGIC) => {}
+            Ok(()) => return Err(TraceError::NotATrace { file: name }),
+            Err(e) if e.kind() == io::ErrorKind::UnexpectedEof => {
+                return Err(TraceError::NotATrace { file: name });
+            }
+            Err(error) => return Err(TraceError::Io { file: name, error }),
+        }
+        let found = u16::from_le_bytes([start[8], start[9]]);
+        if found != VERSION {
+            return Err(TraceError::OtherVersion { file: name, found });
+        }
+        let header = Header {
+            base_us: 0,
+            sources: Vec::new(),
+            classes: Vec::new(),
+            plans: Vec::new(),
+            anonymised: false,
+        };
+        let read = End { records: 0, blocks: 0 };
+        let mut reader =
+            TraceReader { name, from, header, at: 10, block: Vec::new().into_iter(), read, over: false };
+        match reader.frame()? {
+            (b'H', json) => {
+                reader.header =
+                    serde_json::from_slice(&json).map_err(|e| reader.damaged(format!("header: {e}")))?;
+                Ok(reader)
+            }
+            _ => Err(reader.damaged("it has no header".into())),
+        }
+    }
+
+    pub fn header(&self) -> &Header {
+        &self.header
+    }
+
+    fn damaged(&self, problem: String) -> TraceError {
+        TraceError::Damaged { file: self.name.clone(), at: self.at, records: self.read.records, problem }
+    }
+
+    fn fill(&mut self, buffer: &mut [u8]) -> Result<(), TraceError> {
+        self.from.read_exact(buffer).map_err(|error| match error.kind() {
+            io::ErrorKind::UnexpectedEof => {
+                TraceError::Torn { file: self.name.clone(), at: self.at, records: self.read.records }
+            }
+            _ => TraceError::Io { file: self.name.clone(), error },
+        })
+    }
+
+    fn frame(&mut self) -> Result<(u8, Vec<u8>), TraceError> {
+        let mut head = [0; 9];
+        self.fill(&mut head)?;
+        let [tag, l0, l1, l2, l3, sum @ ..] = head;
+        let length = u32::from_le_bytes([l0, l1, l2, l3]) as usize;
+        if length > LONGEST {
+            return Err(self.damaged(format!("a frame of {length} bytes")));
+        }
+        let mut payload = vec![0; length];
+        self.fill(&mut payload)?;
+        if checksum(tag, &payload) != u32::from_le_bytes(sum) {
+            return Err(self.damaged("its checksum does not hold".into()));
+        }
+        self.at += 9 + length as u64;
+        Ok((tag, payload))
+    }
+
+    fn next_block(&mut self) -> Result<(), TraceError> {
+        match self.frame()? {
+            (b'B', packed) => {
+                let plain =
+                    zstd::bulk::decompress(&packed, LONGEST).map_err(|e| self.damaged(e.to_string()))?;
+                let block: Vec<Record> =
+                    postcard::from_bytes(&plain).map_err(|e| self.damaged(e.to_string()))?;
+                let known = |r: &Record| {
+                    usize::from(r.class) < self.header.classes.len()
+                        && usize::from(r.plan) < self.header.plans.len()
+                };
+                if !block.iter().all(known) {
+                    return Err(self.damaged("a record of a class or plan that the header lacks".into()));
+                }
+                self.read.blocks += 1;
+                self.read.records += block.len() as u64;
+                self.block = block.into_iter();
+            }
+            (b'E', json) => {
+                let end: End = serde_json::from_slice(&json).map_err(|e| self.damaged(e.to_string()))?;
+                if end != self.read {
+                    return Err(self.damaged(format!("it should hold {} records", end.records)));
+                }
+                self.over = true;
+            }
+            (tag, _) => return Err(self.damaged(format!("a frame of an unknown kind, {tag}"))),
+        }
+        Ok(())
+    }
+}
+
+/// The records in the order of their times. After an error there are no more.
+impl<R: Read> Iterator for TraceReader<R> {
+    type Item = Result<Record, TraceError>;
+
+    fn next(&mut self) -> Option<Result<Record, TraceError>> {
+        loop {
+            if let Some(record) = self.block.next() {
+                return Some(Ok(record));
+            }
+            if self.over {
+                return None;
+            }
+            if let Err(error) = self.next_block() {
+                self.over = true;
+                return Some(Err(error));
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn header() -> Header {
+        let class = |name: &str, write, repeat| ClassTerms {
+            name: name.into(),
+            write,
+            repeat,
+            aim_ms: 300,
+            deadline_ms: 1_500,
+        };
+        Header {
+            base_us: 7,
+            sources: vec!["a.log".into()],
+            classes: vec![
+                class("view", false, Repeat::Safe),
+                class("deposit", true, Repeat::Keyed { span_ms: 3_000 }),
+            ],
+            plans: vec![PlanTerms { name: "basic".into(), rate: 4.0, limit: None }],
+            anonymised: false,
+        }
+    }
+
+    fn record(at: u64) -> Record {
+        Record {
+            at,
+            class: (at % 2) as u16,
+            plan: 0,
+            volume: at / 7,
+            piece: at,
+            units: 2.0,
+            shard: Some(1),
+            hosts: 2,
+            deadline_ms: 1_500,
+            bytes: 10,
+            key: (at % 2 == 1).then_some(at),
+            status: 200,
+            took: None,
+        }
+    }
+
+    fn written(count: u64) -> Vec<u8> {
+        let dir = tempfile::tempdir().expect("a folder");
+        let path = dir.path().join("t.trace");
+        let mut writer = TraceWriter::create(&path, &header()).expect("created");
+        for at in 0..count {
+            writer.push(record(at)).expect("written");
+        }
+        assert_eq!(writer.finish().expect("finished"), count);
+        std::fs::read(&path).expect("read")
+    }
+
+    fn read(bytes: &[u8]) -> (u64, Option<TraceError>) {
+        let mut reader = match TraceReader::new("t".into(), bytes) {
+            Ok(reader) => reader,
+            Err(error) => return (0, Some(error)),
+        };
+        let mut whole = 0;
+        for record in &mut reader {
+            match record {
+                Ok(_) => whole += 1,
+                Err(error) => return (whole, Some(error)),
+            }
+        }
+        (whole, None)
+    }
+
+    #[test]
+    fn what_was_written_is_read() {
+        let bytes = written(10_000);
+        let reader = TraceReader::new("t".into(), bytes.as_slice()).expect("a trace");
+        assert_eq!(reader.header(), &header());
+        let records: Vec<Record> = reader.map(|r| r.expect("whole")).collect();
+        assert_eq!(records, (0..10_000).map(record).collect::<Vec<_>>());
+        assert!(bytes.len() < 200_000, "{}", bytes.len());
+    }
+
+    // A trace cut at any byte is told from a whole one, and never gives a record that was not written.
+    #[test]
+    fn a_file_torn_anywhere_is_told() {
+        let bytes = written(20);
+        for end in 0..bytes.len() {
+            let (whole, error) = read(&bytes[..end]);
+            assert!(whole == 0 || whole == 20, "{whole} at {end}");
+            let error = error.unwrap_or_else(|| panic!("cut at {end} it was read"));
+            let told = matches!(error, TraceError::NotATrace { .. } | TraceError::Torn { .. });
+            assert!(told, "{end}: {error}");
+        }
+    }
+
+    #[test]
+    fn a_changed_bit_is_told() {
+        let bytes = written(20);
+        for place in 10..bytes.len() {
+            let mut spoilt = bytes.clone();
+            spoilt[place] ^= 4;
+            assert!(read(&spoilt).1.is_some(), "at {place}");
+        }
+    }
+
+    #[test]
+    fn another_version_is_named() {
+        let mut bytes = written(1);
+        bytes[8] = 0;
+        let error = read(&bytes).1.expect("refused").to_string();
+        assert!(error.contains("version 0") && error.contains("import it anew"), "{error}");
+        assert!(read(b"127.0.0.1 - -").1.expect("refused").to_string().contains("is no trace"));
+    }
+
+    #[test]
+    fn records_out_of_order_are_not_written_and_a_file_not_ended_does_not_appear() {
+        let dir = tempfile::tempdir().expect("a folder");
+        let path = dir.path().join("t.trace");
+        let mut writer = TraceWriter::create(&path, &header()).expect("created");
+        writer.push(record(5)).expect("written");
+        assert!(matches!(writer.push(record(4)), Err(TraceError::Order { .. })));
+        drop(writer);
+        assert!(!path.exists() && std::fs::read_dir(dir.path()).expect("read").count() == 0);
+    }
+}
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,189 @@
+//! The command line.
+
+mod capture;
+mod progress;
+
+use crate::config::{Config, Reload};
+use crate::node;
+use lexopt::prelude::*;
+use std::ffi::OsString;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+const HELP: &str = "\
+rowanglade: an I/O initiator that orders and paces the I/O of many volumes
+
+usage: rowanglade [serve] [--operator FILE]   serve until SIGTERM or SIGINT
+       rowanglade check [--operator FILE]     read the configuration and say what is wrong with it
+       rowanglade load FILE                   sum up the load that a HAR file or an access log offers
+       rowanglade capture import|inspect|cut  make and look at traces of recorded traffic
+       rowanglade version
+       rowanglade help [COMMAND]
+
+The configuration comes from LB_CONFIG, a JSON file; LB_NAME, LB_LISTEN and LB_DISCOVERY win over it.
+SIGHUP has the file read again: its discovery address is taken over, all else waits for the next start.
+An operator's file (TOML) sets up the iSCSI-style front and the access log; without one both are off.
+LOG sets the least level of log lines: error, warn, info, debug or trace.
+Exit codes: 0 done; 1 it failed while running; 2 wrong usage, configuration or file.
+";
+
+/// Why a command ended badly.
+enum Failure {
+    /// Wrong usage, configuration or file.
+    Usage(String),
+    /// It failed while running.
+    Running(String),
+}
+
+impl Failure {
+    fn usage(error: impl std::fmt::Display) -> Failure {
+        Failure::Usage(error.to_string())
+    }
+
+    fn running(error: impl std::fmt::Display) -> Failure {
+        Failure::Running(error.to_string())
+    }
+}
+
+impl From<lexopt::Error> for Failure {
+    fn from(error: lexopt::Error) -> Failure {
+        Failure::Usage(error.to_string())
+    }
+}
+
+/// Runs the command that the arguments name.
+pub fn run(args: impl IntoIterator<Item = OsString>) -> ExitCode {
+    match dispatch(args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(Failure::Usage(error)) => fail(2, &error),
+        Err(Failure::Running(error)) => fail(1, &error),
+    }
+}
+
+fn fail(code: u8, error: &str) -> ExitCode {
+    eprintln!("rowanglade: {error}");
+    ExitCode::from(code)
+}
+
+fn dispatch(args: impl IntoIterator<Item = OsString>) -> Result<(), Failure> {
+    let mut args = args.into_iter().peekable();
+    // Without a word, or with an option first, it serves.
+    let word = match args.peek().map(|a| a.to_string_lossy().into_owned()) {
+        Some(word) if !word.starts_with('-') => {
+            args.next();
+            word
+        }
+        Some(word) if matches!(word.as_str(), "-h" | "--help") => "help".into(),
+        Some(word) if matches!(word.as_str(), "-V" | "--version") => "version".into(),
+        _ => "serve".into(),
+    };
+    let parser = lexopt::Parser::from_args(args);
+    match word.as_str() {
+        "serve" => serve(parser),
+        "check" => check(parser),
+        "load" => load(parser),
+        "capture" => capture::run(parser),
+        "version" => {
+            println!("rowanglade {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+        "help" => help(parser),
+        other => Err(Failure::Usage(format!("unknown command {other:?}; see `rowanglade help`"))),
+    }
+}
+
+fn help(mut parser: lexopt::Parser) -> Result<(), Failure> {
+    let command = match parser.next() {
+        Ok(Some(Value(word))) => word.to_string_lossy().into_owned(),
+        _ => String::new(),
+    };
+    print!(
+        "{}",
+        match command.as_str() {
+            "capture" => capture::HELP,
+            _ => HELP,
+        }
+    );
+    Ok(())
+}
+
+/// The operator's file, which is all that `serve` and `check` take.
+fn operator(mut parser: lexopt::Parser) -> Result<Option<PathBuf>, Failure> {
+    let mut operator = None;
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Long("operator") => operator = Some(PathBuf::from(parser.value()?)),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok(operator)
+}
+
+fn variable(name: &str) -> Option<String> {
+    std::env::var(name).ok()
+}
+
+fn check(parser: lexopt::Parser) -> Result<(), Failure> {
+    let operator = operator(parser)?;
+    let config = Config::load(variable, operator.as_deref()).map_err(Failure::usage)?;
+    println!("{config}");
+    Ok(())
+}
+
+fn serve(parser: lexopt::Parser) -> Result<(), Failure> {
+    let operator = operator(parser)?;
+    let config = Config::load(variable, operator.as_deref()).map_err(Failure::usage)?;
+    start_log();
+    // The runtime of the HTTP libraries: one thread.
+    let reload = move || Reload::load(variable, operator.as_deref());
+    match actix_rt::System::new().block_on(node::serve(config, reload)) {
+        Ok(()) => Ok(()),
+        Err(error @ node::Error::Config(_)) => Err(Failure::usage(error)),
+        Err(error) => Err(Failure::running(error)),
+    }
+}
+
+fn load(mut parser: lexopt::Parser) -> Result<(), Failure> {
+    let mut file = None;
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Value(value) if file.is_none() => file = Some(PathBuf::from(value)),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let file = file.ok_or_else(|| Failure::usage("load needs a FILE"))?;
+    capture::load(&file)
+}
+
+/// Nothing is written per request at the default level.
+fn start_log() {
+    let level = std::env::var("LOG").ok().and_then(|l| l.parse().ok()).unwrap_or(tracing::Level::INFO);
+    tracing_subscriber::fmt().with_max_level(level).with_writer(std::io::stderr).with_ansi(false).init();
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn of(words: &[&str]) -> String {
+        match dispatch(words.iter().map(OsString::from)) {
+            Ok(()) => "done".into(),
+            Err(Failure::Usage(error)) => error,
+            Err(Failure::Running(error)) => format!("running: {error}"),
+        }
+    }
+
+    #[test]
+    fn wrong_words_are_named() {
+        assert!(of(&["load"]).contains("FILE"));
+        assert!(of(&["load", "a", "b"]).contains('b'));
+        assert!(of(&["load", "/nowhere/x.log"]).starts_with("/nowhere/x.log: "));
+        assert!(of(&["sevre"]).contains("sevre"));
+        assert!(of(&["serve", "now"]).contains("now"));
+        assert!(of(&["check", "--operater", "x"]).contains("operater"));
+        assert!(of(&["capture"]).contains("import"));
+        assert!(of(&["capture", "imprt"]).contains("imprt"));
+        assert!(of(&["capture", "import", "a.log"]).contains("--out"));
+        assert!(of(&["capture", "cut", "a", "--out", "b", "--share", "two"]).contains("two"));
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -75,7 +75,6 @@
 pub mod config;
 pub mod core;
 pub mod interface;
-pub mod load;
 pub mod names;
 pub mod net;
 pub mod node;
