--- /dev/null
+++ b/crates/lab/src/capture.rs
@@ -0,0 +1,94 @@
+//! Experiments on reading captures.
+
+use crate::outcome::{Experiment, Failure, Outcome};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::fs::File;
+use std::io::{BufReader, BufWriter, Read, Write};
+use std::path::Path;
+use std::process::Command;
+use std::time::Instant;
+
+pub fn experiments() -> Vec<Experiment> {
+    let about = "200 MB of log made on the fly: reading speed and peak memory";
+    vec![Experiment { name: "capture-speed", about, run: speed }]
+}
+
+/// Writes a combined log of about so many bytes; about 340 requests a second of its time.
+fn make(path: &Path, bytes: u64) -> Result<u64, Failure> {
+    let mut chance = Pcg64Mcg::seed_from_u64(1);
+    let mut out = BufWriter::new(File::create(path)?);
+    let (mut written, mut second) = (0, 0);
+    while written < bytes {
+        let (h, m, s) = (9 + second / 3_600, second / 60 % 60, second % 60);
+        let line = format!(
+            "10.{}.{}.{} - - [01/Dec/2026:{h:02}:{m:02}:{s:02} -0500] \"GET /view/{:016x}/{:016x}?size=2 HTTP/1.1\" \
+             200 {} \"https://members.example/x\" \"viewer/1.0 (X11; Linux x86_64)\" 0.{:03}\n",
+            chance.random_range(0..256),
+            chance.random_range(0..256),
+            chance.random_range(0..256),
+            chance.random_range(0..80),
+            chance.random::<u64>(),
+            chance.random_range(0..300_000),
+            chance.random_range(0..999)
+        );
+        out.write_all(line.as_bytes())?;
+        written += line.len() as u64;
+        second += u32::from(chance.random_bool(0.003));
+    }
+    out.flush()?;
+    Ok(written)
+}
+
+/// Runs a command of the daemon's in a process of its own: seconds, and bytes of memory at most.
+fn measured(args: &[&std::ffi::OsStr]) -> Result<(f64, f64), Failure> {
+    let begun = Instant::now();
+    let output = Command::new(std::env::current_exe()?).arg("measured").args(args).output()?;
+    let seconds = begun.elapsed().as_secs_f64();
+    if !output.status.success() {
+        return Err(String::from_utf8_lossy(&output.stderr).into_owned().into());
+    }
+    let text = String::from_utf8(output.stdout)?;
+    let usage: serde_json::Value = serde_json::from_str(text.lines().last().unwrap_or_default())?;
+    Ok((seconds, usage["memory"].as_f64().unwrap_or(f64::MAX)))
+}
+
+fn count_lines(path: &Path) -> Result<(f64, usize), Failure> {
+    let begun = Instant::now();
+    let mut file = BufReader::new(File::open(path)?);
+    let mut buffer = vec![0; 256 << 10];
+    let mut lines = 0;
+    loop {
+        let read = file.read(&mut buffer)?;
+        if read == 0 {
+            return Ok((begun.elapsed().as_secs_f64(), lines));
+        }
+        lines += memchr::memchr_iter(b'\n', &buffer[..read]).count();
+    }
+}
+
+fn speed() -> Result<Outcome, Failure> {
+    let folder = tempfile::tempdir()?;
+    let mut out = Outcome::default();
+    let mut peaks = Vec::new();
+    for megabytes in [20, 200_u64] {
+        let log = folder.path().join(format!("{megabytes}.log"));
+        let bytes = make(&log, megabytes * 1_000_000)? as f64;
+        let trace = folder.path().join("out.trace");
+        let words = ["capture", "import"].map(std::ffi::OsStr::new);
+        let args = [words[0], words[1], log.as_os_str(), "--out".as_ref(), trace.as_os_str()];
+        let (import, memory) = measured(&args)?;
+        let (load, load_memory) = measured(&["load".as_ref(), log.as_os_str()])?;
+        let (count, lines) = count_lines(&log)?;
+        out.figure(format!("{megabytes} MB: lines"), lines as f64, "");
+        out.figure(format!("{megabytes} MB: import"), bytes / 1e6 / import, "MB/s");
+        out.figure(format!("{megabytes} MB: import, peak memory"), memory / 1e6, "MB");
+        out.figure(format!("{megabytes} MB: load"), bytes / 1e6 / load, "MB/s");
+        out.figure(format!("{megabytes} MB: load, peak memory"), load_memory / 1e6, "MB");
+        out.figure(format!("{megabytes} MB: import's time over counting lines"), import / count, "times");
+        peaks.push(memory);
+    }
+    out.claim("peak memory of an import of 200 MB is under 32 MB", peaks[1] < 32e6);
+    out.claim("ten times the log takes less than 1.5 times the memory", peaks[1] < 1.5 * peaks[0]);
+    Ok(out)
+}
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,123 @@
+//! The lab: experiments that start real daemons and stand-ins on loopback, print figures, and fail where a stated
+//! claim does not hold.
+#![forbid(unsafe_code)]
+
+mod capture;
+mod outcome;
+mod replays;
+mod world;
+
+use lexopt::prelude::*;
+use outcome::{Experiment, Outcome};
+use std::ffi::OsString;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+const HELP: &str = "\
+usage: cargo run --release -p rowanglade-lab -- list
+       cargo run --release -p rowanglade-lab -- run NAME|all [--json FILE] [--html FILE]
+
+Each experiment takes a minute at most and uses loopback addresses only. Exit codes: 0 every claim holds; 1 one does
+not, or an experiment failed; 2 wrong usage.
+";
+
+/// All experiments, in the order of `list`.
+fn experiments() -> Vec<Experiment> {
+    [replays::experiments(), capture::experiments()].concat()
+}
+
+fn main() -> ExitCode {
+    let mut args = std::env::args_os().skip(1);
+    let word = args.next().unwrap_or_default();
+    let rest: Vec<OsString> = args.collect();
+    match word.to_str() {
+        Some("list") => {
+            for e in experiments() {
+                println!("{:<16} {}", e.name, e.about);
+            }
+            ExitCode::SUCCESS
+        }
+        Some("run") => run(rest),
+        // What experiments start this program for: the daemon's own command line, the same with its usage told
+        // at the end, and a box that answers at once.
+        Some("rowanglade") => rowanglade::cli::run(rest),
+        Some("measured") => {
+            let code = rowanglade::cli::run(rest);
+            let usage = rowanglade_standin::Usage::of("self");
+            println!("{}", serde_json::json!({"memory": usage.memory, "processor": usage.processor}));
+            code
+        }
+        Some("box") => world::run_box(),
+        Some("help" | "--help" | "-h") => {
+            print!("{HELP}");
+            ExitCode::SUCCESS
+        }
+        _ => {
+            eprint!("{HELP}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run(args: Vec<OsString>) -> ExitCode {
+    let (names, json, html) = match parse(args) {
+        Ok(parsed) => parsed,
+        Err(error) => {
+            eprintln!("rowanglade-lab: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    let known = experiments();
+    let all = names.iter().any(|n| n == "all");
+    if let Some(unknown) = names.iter().find(|n| *n != "all" && !known.iter().any(|e| e.name == **n)) {
+        eprintln!("rowanglade-lab: unknown experiment {unknown:?}; see `list`");
+        return ExitCode::from(2);
+    }
+    let mut outcomes: Vec<Outcome> = Vec::new();
+    let mut failed = false;
+    for experiment in known.iter().filter(|e| all || names.iter().any(|n| n == e.name)) {
+        eprintln!("{} ...", experiment.name);
+        match (experiment.run)() {
+            Ok(mut outcome) => {
+                outcome.name = experiment.name.to_string();
+                outcome.about = experiment.about.to_string();
+                print!("{outcome}");
+                failed |= !outcome.holds();
+                outcomes.push(outcome);
+            }
+            Err(error) => {
+                eprintln!("{}: failed: {error}", experiment.name);
+                failed = true;
+            }
+        }
+    }
+    let write = |path: Option<PathBuf>, text: String| match path.map(|p| (std::fs::write(&p, text), p)) {
+        Some((Err(error), path)) => {
+            eprintln!("rowanglade-lab: {}: {error}", path.display());
+            true
+        }
+        _ => false,
+    };
+    failed |= write(json, serde_json::to_string_pretty(&outcomes).unwrap_or_default());
+    failed |= write(html, outcome::page(&outcomes));
+    ExitCode::from(u8::from(failed))
+}
+
+type Parsed = (Vec<String>, Option<PathBuf>, Option<PathBuf>);
+
+fn parse(args: Vec<OsString>) -> Result<Parsed, lexopt::Error> {
+    let mut parser = lexopt::Parser::from_args(args);
+    let (mut names, mut json, mut html) = (Vec::new(), None, None);
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Long("json") => json = Some(PathBuf::from(parser.value()?)),
+            Long("html") => html = Some(PathBuf::from(parser.value()?)),
+            Value(name) => names.push(name.string()?),
+            other => return Err(other.unexpected()),
+        }
+    }
+    if names.is_empty() {
+        return Err("run needs a NAME, or `all`".into());
+    }
+    Ok((names, json, html))
+}
--- /dev/null
+++ b/crates/lab/src/replays.rs
@@ -0,0 +1,352 @@
+//! Experiments on traffic sent again.
+
+use crate::outcome::{Experiment, Failure, Outcome};
+use crate::world::{self, Sink, Traffic, ZONE, block_on};
+use rowanglade_capture::own_log;
+use rowanglade_replay::{Front, Replay, Report, pick};
+use rowanglade_standin::{Fault, Site, Usage};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use tokio::time::Instant;
+
+pub fn experiments() -> Vec<Experiment> {
+    let made = |name, about, run| Experiment { name, about, run };
+    vec![
+        made("replay-twice", "the sample replayed twice: the same counts, sent when it was due", twice),
+        made("replay-keyed", "writes at the boxes equal distinct keys, also when connections break", keyed),
+        made("replay-stall", "a box stalls for 2 s: the schedule goes on and the latency shows it", stall),
+        made("replay-crowd", "more requests at once than descriptors: each has its last word", crowd),
+        made("replay-fleet", "four initiators: each volume keeps to its own set", fleet),
+        made("replay-iscsi", "the sample over the iSCSI-style front beside the platform's", iscsi),
+        made("replay-rate", "the highest rate that one core replays on time", rate),
+        made("access-log", "what the daemon's access log costs, and whether it is whole", access_log),
+    ]
+}
+
+fn counts(report: &Report) -> BTreeMap<&str, (u64, u64)> {
+    report.classes.iter().map(|(name, c)| (name.as_str(), (c.due, c.served))).collect()
+}
+
+fn words(report: &Report) -> u64 {
+    let total = report.total();
+    total.served + total.refused + total.failed + total.lost + total.unsent
+}
+
+fn ms(micros: u64) -> f64 {
+    micros as f64 / 1e3
+}
+
+fn twice() -> Result<Outcome, Failure> {
+    block_on(async {
+        let folder = tempfile::tempdir()?;
+        let trace = world::sample(folder.path())?;
+        let header = rowanglade_capture::TraceReader::open(&trace)?.header().clone();
+        let mut reports = Vec::new();
+        for _ in 0..2 {
+            let site = Site::start(&vec![world::plan(12, 20, 40); 4], ZONE, 1).await?;
+            let daemons = world::daemons(&site, &header, 1, |_| None)?;
+            reports.push(world::run(&trace, &Replay::to(world::addresses(&daemons))).await?);
+        }
+        let (a, b) = (&reports[0], &reports[1]);
+        let mut out = Outcome::default();
+        for (round, report) in [("first", a), ("second", b)] {
+            for (class, c) in &report.classes {
+                out.figure(format!("{round}: {class} due"), c.due as f64, "");
+                out.figure(format!("{round}: {class} served"), c.served as f64, "");
+                out.figure(format!("{round}: {class} latency p50"), ms(c.latency.at(0.5)), "ms");
+            }
+            out.figure(format!("{round}: behind the schedule p50"), ms(report.drift.at(0.5)), "ms");
+            out.figure(format!("{round}: behind the schedule p99"), ms(report.drift.at(0.99)), "ms");
+        }
+        out.claim("per-class counts, due and served, are equal", counts(a) == counts(b));
+        let within = |part, most| reports.iter().all(|r| ms(r.drift.at(part)) <= most);
+        out.claim("p50 of start times within 5 ms of the schedule", within(0.5, 5.0));
+        out.claim("p99 of start times within 20 ms of the schedule", within(0.99, 20.0));
+        Ok(out)
+    })
+}
+
+fn keyed() -> Result<Outcome, Failure> {
+    block_on(async {
+        let folder = tempfile::tempdir()?;
+        let trace = world::sample(folder.path())?;
+        let header = rowanglade_capture::TraceReader::open(&trace)?.header().clone();
+        let keys: Vec<u64> = world::records(&trace)?.iter().filter_map(|r| r.key).collect();
+        let distinct = keys.iter().collect::<BTreeSet<_>>().len() as u64;
+        let mut out = Outcome::default();
+        out.figure("writes in the trace", keys.len() as f64, "");
+        out.figure("distinct keys", distinct as f64, "");
+        for (round, fault) in
+            [("calm", Fault::default()), ("resets", Fault { resets: 0.15, slow: 2.0, ..Fault::default() })]
+        {
+            let site = Site::start(&vec![world::plan(8, 12, 25); 4], ZONE, 2).await?;
+            site.boxes.iter().for_each(|b| b.misbehave(fault.clone()));
+            let daemons = world::daemons(&site, &header, 1, |_| None)?;
+            let report = world::run(&trace, &Replay::to(world::addresses(&daemons))).await?;
+            let seen = site.counters();
+            let ran = site.boxes.iter().map(|b| b.rack().ran()).fold((0, 0), |a, b| (a.0 + b.0, a.1 + b.1));
+            out.figure(format!("{round}: writes that ran"), seen.writes as f64, "");
+            out.figure(format!("{round}: repeats dropped"), seen.repeats as f64, "");
+            out.figure(format!("{round}: connections reset by boxes"), seen.resets as f64, "");
+            out.figure(format!("{round}: deposits served"), report.classes["deposit"].served as f64, "");
+            out.claim(format!("{round}: no key ran twice"), ran.1 == 0 && seen.writes == ran.0);
+            if round == "calm" {
+                out.claim("calm: writes at the boxes equal distinct keys", seen.writes == distinct);
+            } else {
+                out.claim("resets: connections broke", seen.resets > 20);
+                out.claim("resets: no more writes than keys", seen.writes <= distinct);
+            }
+        }
+        Ok(out)
+    })
+}
+
+fn stall() -> Result<Outcome, Failure> {
+    block_on(async {
+        let folder = tempfile::tempdir()?;
+        let trace = folder.path().join("made.trace");
+        let traffic = Traffic { rate: 150.0, seconds: 9.0, volumes: 30, shards: 3, hosts: 1, seed: 4 };
+        world::make(&trace, traffic)?;
+        let mut out = Outcome::default();
+        let mut served = Vec::new();
+        for stalls in [false, true] {
+            let site = Site::start(&vec![world::plan(6, 10, 20); 3], ZONE, 3).await?;
+            let daemons = world::daemons(&site, &world::header(), 1, |_| None)?;
+            let target = std::rc::Rc::clone(&site.boxes[0]);
+            let breaks = actix_rt::spawn(async move {
+                tokio::time::sleep(Duration::from_secs(4)).await;
+                if stalls {
+                    let until = Some(Instant::now() + Duration::from_secs(2));
+                    target.misbehave(Fault { stalled_until: until, ..Fault::default() });
+                }
+            });
+            let ask = Replay { retries: false, ..Replay::to(world::addresses(&daemons)) };
+            let report = world::run(&trace, &ask).await?;
+            breaks.abort();
+            let round = if stalls { "stalled" } else { "calm" };
+            let total = report.total();
+            out.figure(
+                format!("{round}: served in time of due"),
+                total.in_time as f64 / total.due as f64,
+                "",
+            );
+            out.figure(
+                format!("{round}: view latency p99"),
+                ms(report.classes["view"].latency.at(0.99)),
+                "ms",
+            );
+            out.figure(format!("{round}: behind the schedule p99"), ms(report.drift.at(0.99)), "ms");
+            out.claim(format!("{round}: each request has one last word"), words(&report) == total.due);
+            out.claim(format!("{round}: p99 of starts within 20 ms"), ms(report.drift.at(0.99)) <= 20.0);
+            served.push((total.in_time, report));
+        }
+        let (calm, stalled) = (&served[0], &served[1]);
+        let worst =
+            stalled.1.classes.values().map(|c| c.latency.max().max(c.refusal.max())).max().unwrap_or(0);
+        out.figure("stalled: longest time to an answer", ms(worst), "ms");
+        // A third of 2 s of traffic met the stall; the rest did not have to.
+        let lost = (calm.0 - stalled.0.min(calm.0)) as f64 / (150.0 * 2.0 / 3.0);
+        out.figure("requests no longer in time, of those due to the box in its stall", lost, "");
+        out.claim("the stall shows", lost > 0.3);
+        out.claim("it stays with the stalled box: less than double what it was due", lost < 2.0);
+        Ok(out)
+    })
+}
+
+fn crowd() -> Result<Outcome, Failure> {
+    block_on(async {
+        let folder = tempfile::tempdir()?;
+        let trace = folder.path().join("made.trace");
+        let traffic = Traffic { rate: 600.0, seconds: 5.0, volumes: 30, shards: 2, hosts: 1, seed: 5 };
+        let due = world::make(&trace, traffic)?;
+        let site = Site::start(&vec![world::plan(15, 25, 40); 2], ZONE, 3).await?;
+        let daemons = world::daemons(&site, &world::header(), 1, |_| None)?;
+        let ask = Replay { most_out: 48, ..Replay::to(world::addresses(&daemons)) };
+        let report = world::run(&trace, &ask).await?;
+        let total = report.total();
+        let mut out = Outcome::default();
+        out.figure("requests due", due as f64, "");
+        out.figure("served", total.served as f64, "");
+        out.figure("refused", total.refused as f64, "");
+        out.figure("unsent, their time being up before there was room", total.unsent as f64, "");
+        out.figure("held for room", report.held as f64, "");
+        out.claim("each request has one last word", words(&report) == due && total.due == due);
+        out.claim("requests waited for room", report.held > 100);
+        out.figure("most tries out at once", report.most_out as f64, "");
+        out.claim("no more are out than allowed", report.most_out <= 48);
+        Ok(out)
+    })
+}
+
+fn fleet() -> Result<Outcome, Failure> {
+    block_on(async {
+        let folder = tempfile::tempdir()?;
+        let trace = folder.path().join("made.trace");
+        let traffic = Traffic { rate: 300.0, seconds: 6.0, volumes: 40, shards: 6, hosts: 2, seed: 6 };
+        let due = world::make(&trace, traffic)?;
+        let site = Site::start(&vec![world::plan(4, 6, 12); 6], ZONE, 3).await?;
+        let daemons = world::daemons(&site, &world::header(), 4, |_| Some(log()))?;
+        let ask = Replay { retries: false, ..Replay::to(world::addresses(&daemons)) };
+        let report = world::run(&trace, &ask).await?;
+        let mut out = Outcome::default();
+        let mut astray = 0;
+        for (number, daemon) in daemons.iter().enumerate() {
+            let lines = logged(daemon, 0).await?;
+            out.figure(format!("requests through initiator {number}"), lines.len() as f64, "");
+            for (volume, _) in &lines {
+                astray += usize::from(!pick::set(ask.seed, *volume, 2, 4).contains(&number));
+            }
+        }
+        let total = report.total();
+        out.figure("requests due", due as f64, "");
+        out.figure("served", total.served as f64, "");
+        out.figure("behind the schedule p99", ms(report.drift.at(0.99)), "ms");
+        out.claim("no request went through an initiator outside its volume's set", astray == 0);
+        out.claim("each request has one last word", words(&report) == due);
+        out.claim("nearly all are served", total.served as f64 >= 0.98 * due as f64);
+        Ok(out)
+    })
+}
+
+/// An operator's file with the access log alone.
+fn log() -> String {
+    "[access_log]\npath = \"access.log\"\nqueue = 16384\n".into()
+}
+
+/// The volumes and statuses in a daemon's access log, once it holds that many lines (or after a while).
+async fn logged(daemon: &rowanglade_standin::Daemon, least: u64) -> Result<Vec<(u64, u16)>, Failure> {
+    let path = daemon.folder().join("access.log");
+    let until = Instant::now() + Duration::from_secs(2);
+    loop {
+        let text = std::fs::read(&path)?;
+        let lines: Vec<&[u8]> = text.split_inclusive(|b| *b == b'\n').collect();
+        if lines.len() as u64 >= least || Instant::now() >= until {
+            let parse = |line: &&[u8]| -> Result<(u64, u16), Failure> {
+                let offer = own_log::parse(line)?.ok_or("an empty line")?;
+                let known = offer.known.as_ref().ok_or("a line without its volume")?;
+                Ok((known.volume, offer.status))
+            };
+            return lines.iter().map(parse).collect();
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+fn iscsi() -> Result<Outcome, Failure> {
+    block_on(async {
+        let folder = tempfile::tempdir()?;
+        let trace = world::sample(folder.path())?;
+        let header = rowanglade_capture::TraceReader::open(&trace)?.header().clone();
+        let target = "iqn.2026-12.example.kingston:lab";
+        let mut operator = format!("[iscsi]\nlisten = \"127.0.0.1:0\"\nname = \"{target}\"\n");
+        let luns: BTreeMap<u64, Option<u32>> =
+            world::records(&trace)?.iter().map(|r| (r.volume, r.shard)).collect();
+        for (lun, shard) in &luns {
+            let shard = shard.map_or(String::new(), |s| format!("shard = {s}\n"));
+            operator +=
+                &format!("[[iscsi.volume]]\nlun = \"{lun:016x}\"\nplan = \"basic\"\nhosts = 1\n{shard}");
+        }
+        let mut out = Outcome::default();
+        let mut reports = Vec::new();
+        for over_iscsi in [false, true] {
+            let site = Site::start(&vec![world::plan(12, 20, 40); 4], ZONE, 1).await?;
+            let daemons = world::daemons(&site, &header, 1, |_| Some(operator.clone()))?;
+            let mut ask = Replay::to(world::addresses(&daemons));
+            // Both are ready once the platform's front says so.
+            let none = folder.path().join("none.trace");
+            rowanglade_capture::TraceWriter::create(&none, &header)?.finish()?;
+            world::run(&none, &ask).await?;
+            if over_iscsi {
+                ask.front = Front::Iscsi { target: target.into(), blocks_per_unit: 8 };
+                ask.to = vec![daemons[0].iscsi.ok_or("the front is off")?];
+            }
+            let report = world::run(&trace, &ask).await?;
+            let front = report.front.clone();
+            for (class, c) in &report.classes {
+                out.figure(format!("{front}: {class} served of {}", c.due), c.served as f64, "");
+                out.figure(format!("{front}: {class} latency p50"), ms(c.latency.at(0.5)), "ms");
+            }
+            reports.push(report);
+        }
+        let due = |r: &Report| counts(r).into_iter().map(|(n, c)| (n.to_string(), c.0)).collect::<Vec<_>>();
+        out.claim("the same requests come due on both fronts", due(&reports[0]) == due(&reports[1]));
+        let all = |r: &Report| r.total().served == r.total().due;
+        out.claim("all are served on both fronts", reports.iter().all(all));
+        Ok(out)
+    })
+}
+
+fn rate() -> Result<Outcome, Failure> {
+    block_on(async {
+        let folder = tempfile::tempdir()?;
+        let sink = Sink::start()?;
+        let mut out = Outcome::default();
+        let (mut best, mut tried) = (0.0, 0.0);
+        for step in 0..8 {
+            let per_second = 1_000.0 * 2f64.powi(step);
+            let trace = folder.path().join(format!("{step}.trace"));
+            let traffic =
+                Traffic { rate: per_second, seconds: 3.0, volumes: 200, shards: 1, hosts: 1, seed: 7 };
+            let due = world::make(&trace, traffic)?;
+            let ask = Replay { most_out: 800, ..Replay::to(vec![sink.addr]) };
+            let before = Usage::of("self").processor;
+            let report = world::run(&trace, &ask).await?;
+            let busy = (Usage::of("self").processor - before) / report.seconds;
+            let total = report.total();
+            out.figure(format!("{per_second} a second: behind p50"), ms(report.drift.at(0.5)), "ms");
+            out.figure(format!("{per_second} a second: behind p99"), ms(report.drift.at(0.99)), "ms");
+            out.figure(format!("{per_second} a second: served of due"), total.served as f64 / due as f64, "");
+            out.figure(format!("{per_second} a second: of a core"), busy, "");
+            tried = per_second;
+            if report.drift.at(0.99) > 10_000 || total.served < due {
+                break;
+            }
+            best = per_second;
+        }
+        out.figure("highest rate with p99 within 10 ms and all served", best, "requests/s");
+        out.figure("highest rate tried", tried, "requests/s");
+        out.claim("at least 4,000 requests a second", best >= 4_000.0);
+        Ok(out)
+    })
+}
+
+fn access_log() -> Result<Outcome, Failure> {
+    block_on(async {
+        let folder = tempfile::tempdir()?;
+        let trace = folder.path().join("made.trace");
+        let traffic = Traffic { rate: 600.0, seconds: 8.0, volumes: 60, shards: 8, hosts: 1, seed: 8 };
+        let due = world::make(&trace, traffic)?;
+        let mut out = Outcome::default();
+        let mut cost = Vec::new();
+        for on in [false, true] {
+            let site = Site::start(&vec![world::plan(3, 4, 6); 8], ZONE, 3).await?;
+            let daemons = world::daemons(&site, &world::header(), 1, |_| on.then(log))?;
+            let report =
+                world::run(&trace, &Replay { retries: false, ..Replay::to(world::addresses(&daemons)) })
+                    .await?;
+            let round = if on { "with" } else { "without" };
+            let usage = daemons[0].usage();
+            out.figure(
+                format!("{round} the log: processor time a request"),
+                usage.processor * 1e6 / due as f64,
+                "us",
+            );
+            out.figure(format!("{round} the log: memory at most"), usage.memory as f64 / 1e6, "MB");
+            out.figure(
+                format!("{round} the log: view latency p99"),
+                ms(report.classes["view"].latency.at(0.99)),
+                "ms",
+            );
+            cost.push(usage.processor);
+            if on {
+                let lines = logged(&daemons[0], due).await?;
+                let served = lines.iter().filter(|(_, status)| *status == 200).count() as u64;
+                out.claim("a line for each request", lines.len() as u64 == due);
+                out.claim("as many served as clients saw", served == report.total().served);
+            }
+        }
+        out.figure("processor time with the log over without", cost[1] / cost[0].max(0.01), "times");
+        out.claim("the log costs less than half as much again", cost[1] < 1.5 * cost[0].max(0.01));
+        Ok(out)
+    })
+}
--- a/crates/replay/src/drive.rs
+++ b/crates/replay/src/drive.rs
@@ -88,7 +88,7 @@
             match action {
                 Action::Send(send) => {
                     let now = micros(Instant::now());
-                    recorder.sent(&send, now);
+                    recorder.sent(&send, now, planner.out());
                     let Some((class, plan)) = recorder.terms(&send.record) else { continue };
                     let outgoing = Outgoing {
                         id: send.id,
--- a/crates/replay/src/report.rs
+++ b/crates/replay/src/report.rs
@@ -160,6 +160,8 @@
     pub drift: Times,
     /// First tries that waited for others to end, since too many were out.
     pub held: u64,
+    /// The most tries that were out at once.
+    pub most_out: u64,
     pub timeline: Vec<Second>,
     pub volumes: Vec<Volume>,
     pub volumes_in_all: usize,
@@ -246,6 +248,7 @@
             classes: BTreeMap::new(),
             drift: Times::default(),
             held: 0,
+            most_out: 0,
             timeline: Vec::new(),
             volumes: Vec::new(),
             volumes_in_all: 0,
@@ -273,8 +276,9 @@
         &mut self.report.timeline[place]
     }
 
-    /// A try went.
-    pub fn sent(&mut self, send: &Send, now: Micros) {
+    /// A try went, beside so many others that are out, itself counted.
+    pub fn sent(&mut self, send: &Send, now: Micros, out: usize) {
+        self.report.most_out = self.report.most_out.max(out as u64);
         if let Some(class) = self.classes.get_mut(usize::from(send.record.class)) {
             class.sent += 1;
             class.again += u64::from(send.again > 0);
--- a/crates/standin/src/boxes.rs
+++ b/crates/standin/src/boxes.rs
@@ -328,7 +328,7 @@
         let factor = if fault.slow > 1.0 { fault.slow } else { 1.0 };
         let key = request.header("idempotency-key");
         let effect = key.map(|key| self.rack.take(key, Instant::now()));
-        if effect != Some(Effect::Dropped) {
+        if effect != Some(Effect::Dropped) && !work.is_zero() {
             sleep(work.mul_f64(spread * factor / self.power().max(0.01))).await;
         }
         drop(held);
--- a/tests/network/replay.rs
+++ b/tests/network/replay.rs
@@ -1,7 +1,10 @@
 //! Stories on traffic sent again: from a trace through an initiator to stand-in boxes, and what both ends count.
 
 use crate::site::*;
-use rowanglade_capture::{ClassTerms, Header, PlanTerms, Record, Repeat, TraceWriter};
+use rowanglade_capture::{
+    ClassTerms, Format, Header, Import, Mapping, PlanTerms, Record, Repeat, Tolerance, TraceReader,
+    TraceWriter, import,
+};
 use rowanglade_replay::{Front, Replay, Report, replay};
 use rowanglade_standin::{BoxPlan, Fault, Site};
 use std::path::{Path, PathBuf};
@@ -160,3 +163,68 @@
         assert_eq!(site.counters().writes, 8);
     });
 }
+
+// What the daemon logs of its requests is a source of load like any other.
+#[test]
+fn the_daemons_own_log_becomes_a_trace_again() {
+    story(async {
+        let site = site().await;
+        let log = std::env::temp_dir().join(format!("rowanglade-replay-{}-own.log", std::process::id()));
+        let _ = std::fs::remove_file(&log);
+        let operator = format!("[access_log]\npath = {:?}\n", log.display().to_string());
+        let node = start(&[], Some(site.discovery.addr()), Some(&operator)).await;
+        let mut records: Vec<Record> = (0..10).map(|i| record(i * 5, 0, None)).collect();
+        records.push(record(60, 1, Some(77)));
+        let path = trace("own", records.clone());
+        run(&path, &Replay::to(vec![node.http])).await;
+        // Its last lines are written before it ends.
+        node.end.send(()).expect("it runs");
+        node.run.await.expect("joined").expect("ended");
+        let ask = Import {
+            files: std::slice::from_ref(&log),
+            format: None,
+            tolerance: Tolerance::default(),
+            window: 5_000_000,
+            to: &path,
+        };
+        let imported = import(&Mapping::standard().expect("usable"), &ask, &mut |_, _| {}).expect("imported");
+        assert_eq!((imported.files[0].1.format, imported.records), (Format::Own, 11));
+        let again: Vec<Record> =
+            TraceReader::open(&path).expect("a trace").map(|r| r.expect("whole")).collect();
+        let short = |r: &Record| (r.class, r.volume, r.piece, r.units as u32, r.shard, r.key);
+        assert_eq!(
+            again.iter().map(short).collect::<Vec<_>>(),
+            records.iter().map(short).collect::<Vec<_>>()
+        );
+        assert!(again.iter().all(|r| r.status == 200 && r.took.is_some()));
+        [log, path].iter().for_each(|f| std::fs::remove_file(f).expect("removed"));
+    });
+}
+
+// Ctrl-C must end a replay with a report in which nothing is missing.
+#[test]
+fn a_replay_that_is_stopped_reports_all_that_came_due() {
+    story(async {
+        let site = site().await;
+        site.boxes.iter().for_each(|b| b.misbehave(Fault { silent: true, ..Fault::default() }));
+        let node = start(&[], Some(site.discovery.addr()), None).await;
+        let mut records: Vec<Record> = (0..10).map(|_| record(0, 0, None)).collect();
+        records.push(record(60_000, 0, None));
+        let path = trace("stop", records);
+        let (stop, stopped) = oneshot::channel();
+        let ask = Replay { most_out: 6, ..Replay::to(vec![node.http]) };
+        let mut stop = Some(stop);
+        let end = &mut |p: rowanglade_replay::drive::Progress| {
+            if p.out == 6 {
+                stop.take().map(|s| s.send(()));
+            }
+        };
+        let (report, _) = replay(&path, &ask, stopped, end).await.expect("replayed");
+        std::fs::remove_file(&path).expect("removed");
+        let view = &report.classes["view"];
+        let words = view.served + view.refused + view.failed + view.lost + view.unsent;
+        assert!(report.stopped);
+        assert_eq!((view.due, words, report.unfinished), (10, 10, 0), "{report}");
+        assert!(view.unsent >= 4, "{report}");
+    });
+}
