Test the stand-in boxes' faults, drain, kill, cold restart and watches

Need: experiments lean on the stand-ins, and nothing failed where one of their faults did not happen.

Change: a test asks a box under each fault, follows it through drain, kill and restart in discovery's watches, and checks its counters and that it starts cold.

--- /dev/null
+++ b/crates/standin/tests/boxes.rs
@@ -0,0 +1,87 @@
+//! Boxes do what they are told, and say what they saw.
+
+use rowanglade_standin::{BoxPlan, Fault, Site};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task::LocalSet;
+
+/// The status of an answer; 0 where the connection ended without one, and none where it did not come up.
+async fn ask(addr: SocketAddr, head: &str, body: usize) -> Option<u16> {
+    let mut stream = TcpStream::connect(addr).await.ok()?;
+    let request = format!(
+        "{head} HTTP/1.1\r\nIdempotency-Key: k\r\nContent-Length: {body}\r\n\r\n{}",
+        "x".repeat(body)
+    );
+    stream.write_all(request.as_bytes()).await.ok()?;
+    let mut answer = [0; 12];
+    match stream.read_exact(&mut answer).await {
+        Ok(_) => std::str::from_utf8(&answer[9..]).ok()?.parse().ok(),
+        Err(_) => Some(0),
+    }
+}
+
+async fn list(site: &Site, from: Option<u64>) -> String {
+    let mut stream = TcpStream::connect(site.discovery.addr()).await.expect("connected");
+    let query = from.map_or(String::new(), |v| format!("?from={v}&hold_ms=5000"));
+    let request = format!("GET /discovery/hosts{query} HTTP/1.1\r\nHost: x\r\n\r\n");
+    stream.write_all(request.as_bytes()).await.expect("written");
+    let mut text = String::new();
+    let mut buffer = [0; 4096];
+    while !text.contains("\"version\"") {
+        let read = stream.read(&mut buffer).await.expect("read");
+        assert!(read > 0, "{text}");
+        text.push_str(&String::from_utf8_lossy(&buffer[..read]));
+    }
+    text
+}
+
+#[test]
+fn boxes_misbehave_on_command_and_count_it() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let plan = BoxPlan {
+            cold_from: 0.25,
+            warm_within: Duration::from_secs(3_600),
+            other: Duration::from_millis(1),
+            ..BoxPlan::default()
+        };
+        let site = Site::start(&[plan], "kingston", 1).await.expect("started");
+        let (target, addr) = (&site.boxes[0], site.boxes[0].addr());
+        assert_eq!(ask(addr, "PUT /deposit/1/2", 10).await, Some(200));
+        assert_eq!(ask(addr, "PUT /deposit/1/2", 10).await, Some(200));
+        assert_eq!((target.counters().writes, target.counters().repeats), (1, 1));
+        for (fault, answer) in [
+            (Fault { errors: 1.0, ..Fault::default() }, 500),
+            (Fault { full: true, ..Fault::default() }, 503),
+            (Fault { resets: 1.0, ..Fault::default() }, 0),
+        ] {
+            target.misbehave(fault);
+            assert_eq!(ask(addr, "PUT /deposit/1/3", 10).await, Some(answer));
+        }
+        target.misbehave(Fault::default());
+        let seen = target.counters();
+        assert_eq!(
+            (seen.errors, seen.full, seen.resets, seen.taken),
+            (1, 1, 1, 4),
+            "a reset one is not taken"
+        );
+
+        assert!(list(&site, None).await.contains("\"active\""));
+        site.drain(0);
+        assert_eq!(ask(addr, "GET /view/1/2", 0).await, Some(503));
+        assert_eq!(target.counters().after_drain, 1);
+        assert!(list(&site, Some(2)).await.contains("\"leaving\""));
+        site.kill(0);
+        assert!(list(&site, Some(3)).await.contains("\"left\""));
+        // The watch waits for news: this one is answered by the restart.
+        let restarted = async {
+            site.restart(0).await.expect("the address is free");
+        };
+        let (news, ()) = tokio::join!(list(&site, Some(4)), restarted);
+        assert!(news.contains("\"active\"") && target.started_ms() > 0, "{news}");
+        assert!(target.power() < 0.3, "it starts cold: {}", target.power());
+        assert_eq!(ask(addr, "GET /view/1/2", 0).await, Some(200));
+    });
+}
