Judge every request of the reload experiment by its own version, and log a status at SIGUSR1

Need: routes-reload only showed that no request went to the one box that all versions forbid, nothing showed that a file held back is loaded when the list names its box, and the versions in use could not be asked for.

Change: boxes keep what they took where asked; within the span of a version its moved volumes must go to its box alone. A story runs the daemon through hold, load, and a box that breaks a file in force. SIGUSR1 logs open requests, targets and the versions of routes in use; an old version's end is logged.

--- a/crates/lab/src/routes.rs
+++ b/crates/lab/src/routes.rs
@@ -9,6 +9,9 @@
 use std::fmt::Write;
 use std::time::{Duration, Instant};
 
+/// After a table is in force, what was sent under the one before has reached its box within this time.
+const UNDER_WAY: Duration = Duration::from_millis(150);
+
 pub fn experiments() -> Vec<Experiment> {
     let made = |name, about, run| Experiment { name, about, run };
     vec![
@@ -163,11 +166,15 @@
         let trace = folder.path().join("made.trace");
         let traffic = Traffic { rate: 500.0, seconds: 12.0, volumes: 40, shards: 0, hosts: 1, seed: 9 };
         let due = world::make(&trace, traffic)?;
-        let site = Site::start(&vec![world::plan(3, 4, 6); 4], ZONE, 5).await?;
+        let plan = rowanglade_standin::BoxPlan { remember: true, ..world::plan(3, 4, 6) };
+        let site = Site::start(&vec![plan; 4], ZONE, 5).await?;
         let daemons = world::daemons(&site, &world::header(), 1, |_| Some(version(0)))?;
         let file = daemons[0].folder().join("operator.toml");
         let ask = Replay { retries: false, ..Replay::to(world::addresses(&daemons)) };
+        let in_force = || daemons[0].log().iter().filter(|l| l.contains("routes are in force")).count();
         let swaps = async {
+            // From when until when which version alone is in force.
+            let (mut spans, mut current, mut since) = (Vec::new(), 0, tokio::time::Instant::now());
             for number in 1..=10usize {
                 tokio::time::sleep(Duration::from_millis(1_000)).await;
                 // The third is half written, the seventh breaks its expectation.
@@ -179,12 +186,21 @@
                 let beside = file.with_extension("new");
                 std::fs::write(&beside, text)?;
                 std::fs::rename(&beside, &file)?;
+                let before = in_force();
+                let asked = tokio::time::Instant::now();
                 daemons[0].signal(rowanglade_standin::Signal::SIGHUP)?;
+                if number != 3 && number != 7 {
+                    while in_force() == before && asked.elapsed() < Duration::from_millis(800) {
+                        tokio::time::sleep(Duration::from_millis(2)).await;
+                    }
+                    spans.push((since + UNDER_WAY, asked, current));
+                    (current, since) = (number, tokio::time::Instant::now());
+                }
             }
-            Ok::<(), Failure>(())
+            Ok::<_, Failure>(spans)
         };
         let (report, swapped) = tokio::join!(world::run(&trace, &ask), swaps);
-        let (report, ()) = (report?, swapped?);
+        let (report, spans) = (report?, swapped?);
         let total = report.total();
         let log = daemons[0].log();
         let with = |words: &str| log.iter().filter(|l| l.contains(words)).count();
@@ -199,6 +215,21 @@
         for (i, each) in site.boxes.iter().enumerate() {
             out.figure(format!("requests at box {i}"), each.counters().taken as f64, "");
         }
+        // Within a version's span the moved volumes go to its box alone.
+        let (mut judged, mut astray) = (0, 0);
+        for (i, each) in site.boxes.iter().enumerate() {
+            for (at, target) in each.seen() {
+                let volume = target.split('/').nth(2).and_then(|v| u64::from_str_radix(v, 16).ok());
+                let moved = volume.is_some_and(|v| v <= 0x14);
+                let span = spans.iter().find(|(from, until, _)| (*from..*until).contains(&at));
+                if let Some((.., number)) = span.filter(|_| moved) {
+                    judged += 1;
+                    astray += usize::from(i != 1 + number % 3);
+                }
+            }
+        }
+        out.figure("requests of moved volumes within one version's span", judged as f64, "");
+        out.claim("none of them went to a box that its version forbids", judged > 1_000 && astray == 0);
         let lines = world::logged(&daemons[0], due).await?.len() as u64;
         out.claim("each request has one last word", total.due == due && lines == due);
         out.claim("none is lost", total.lost + total.failed + total.unsent == 0);
--- a/crates/standin/src/boxes.rs
+++ b/crates/standin/src/boxes.rs
@@ -31,6 +31,8 @@
     pub warm_within: Duration,
     /// Bytes of a read's answer.
     pub answer_bytes: usize,
+    /// It keeps the time and the target of every request it takes.
+    pub remember: bool,
 }
 
 impl Default for BoxPlan {
@@ -44,6 +46,7 @@
             cold_from: 1.0,
             warm_within: Duration::ZERO,
             answer_bytes: 256,
+            remember: false,
         }
     }
 }
@@ -120,6 +123,7 @@
     begun: Cell<Instant>,
     started_ms: Cell<u64>,
     counters: RefCell<Counters>,
+    seen: RefCell<Vec<(Instant, String)>>,
     chance: RefCell<Pcg64Mcg>,
     /// The number of its process; a change ends the one before.
     life: watch::Sender<u64>,
@@ -152,6 +156,7 @@
             begun: Cell::new(warm),
             started_ms: Cell::new(0),
             counters: RefCell::default(),
+            seen: RefCell::default(),
             chance: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
             life: watch::Sender::new(1),
         });
@@ -180,6 +185,11 @@
         self.counters.borrow().clone()
     }
 
+    /// When each request was taken, and its target; empty unless the plan asks for it.
+    pub fn seen(&self) -> Vec<(Instant, String)> {
+        self.seen.borrow().clone()
+    }
+
     pub fn rack(&self) -> &Rack {
         &self.rack
     }
@@ -289,6 +299,9 @@
             return Some(Answer::new(if self.draining.get() { 503 } else { 200 }));
         }
         let class = request.target.split('/').nth(1).unwrap_or_default().to_string();
+        if self.plan.remember {
+            self.seen.borrow_mut().push((Instant::now(), request.target.clone()));
+        }
         {
             let mut seen = self.counters.borrow_mut();
             seen.taken += 1;
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -30,6 +30,7 @@
 The configuration comes from LB_CONFIG, a JSON file; LB_NAME, LB_LISTEN and LB_DISCOVERY win over it.
 SIGHUP has the files read again: discovery's address and the routes are taken over if every expectation holds, all
 else waits for the next start.
+SIGUSR1 has a line of status logged: what is open, the targets, and the versions of routes in use.
 An operator's file (TOML) sets up the iSCSI-style front, the access log and routes; without one all are off.
 LOG sets the least level of log lines: error, warn, info, debug or trace.
 Exit codes: 0 done; 1 it failed while running; 2 wrong usage, configuration or file.
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -169,6 +169,10 @@
                     }
                 }
             }
+            Message::Status => {
+                let (open, targets, routes) = (self.open.get(), self.targets.len(), self.routes.versions());
+                tracing::info!(open, targets, ?routes, ready = *self.ready.borrow(), "status");
+            }
             Message::Ended { id, number, reply } => self.ended(id, number, reply),
             Message::Probed { node, outcome, took, load } => {
                 self.feed(Event::Probed { node, outcome, took, load });
--- a/src/core/message.rs
+++ b/src/core/message.rs
@@ -115,6 +115,8 @@
     Gone(RequestId),
     /// The program is about to end: whatever is open fails.
     End,
+    /// What the core is at goes to the log.
+    Status,
     Ended {
         id: RequestId,
         number: Number,
--- a/src/core/routes.rs
+++ b/src/core/routes.rs
@@ -130,6 +130,10 @@
         for id in gone {
             if let Some(set) = self.sets.remove(&id) {
                 self.by_key.remove(&set.key);
+                let version = set.key.version;
+                if version != current && !self.sets.values().any(|s| s.key.version == version) {
+                    tracing::info!(version, "routes have ended with their last request");
+                }
             }
             self.news.push(Event::Reach { reach: id, nodes: None });
         }
--- a/src/node.rs
+++ b/src/node.rs
@@ -73,6 +73,7 @@
     let mut interrupt = signal(SignalKind::interrupt())?;
     // Without a handler the signal would end the program.
     let mut hangup = signal(SignalKind::hangup())?;
+    let mut status = signal(SignalKind::user_defined1())?;
     let told = async move {
         tokio::select! {
             _ = terminate.recv() => {}
@@ -81,6 +82,12 @@
     };
     let node = Node::start(config).await?;
     let (reloads, listed) = (node.reloads(), node.core.listed());
+    let core = node.core.clone();
+    actix_rt::spawn(async move {
+        while status.recv().await.is_some() {
+            core.tell(Message::Status).await;
+        }
+    });
     let asked = async move || hangup.recv().await.is_some();
     actix_rt::spawn(keep_reloading(asked, reload, reloads, listed));
     Ok(node.run(told).await?)
--- a/tests/network/routes.rs
+++ b/tests/network/routes.rs
@@ -2,6 +2,8 @@
 
 use crate::site::*;
 use rowanglade_routing::{Source, Table, Terms, parse};
+use rowanglade_standin::{BoxPlan, Daemon, Entry, Signal, Site, Start, State, settings};
+use std::time::Duration;
 
 fn operator(pool: &str) -> String {
     format!(
@@ -70,3 +72,65 @@
         assert_eq!(asking.await.expect("joined"), "200 one");
     });
 }
+
+async fn logged(daemon: &Daemon, words: &str) {
+    // The story's own limit ends a wait for what never comes.
+    while !daemon.log().iter().any(|l| l.contains(words)) {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+// A file that depends on a box that is not listed is held back, and taken over when the list names the box and the
+// expectation holds; one that is in force with a warning is told of when the box turns out wrong.
+#[test]
+fn a_file_is_held_back_until_the_list_names_its_box() {
+    story(async {
+        let site =
+            Site::start(&[BoxPlan::default(), BoxPlan::default()], "kingston", 1).await.expect("started");
+        let mapping = rowanglade_capture::Mapping::standard().expect("usable");
+        let header = rowanglade_capture::Header {
+            base_us: 0,
+            sources: Vec::new(),
+            classes: mapping.classes().to_vec(),
+            plans: mapping.plans().to_vec(),
+            anonymised: false,
+        };
+        let daemon = Daemon::start(&Start {
+            name: "held".into(),
+            program: env!("CARGO_BIN_EXE_rowanglade").into(),
+            args: Vec::new(),
+            settings: settings(&header, 1, "kingston", 2),
+            discovery: site.discovery.addr(),
+            sockets: 256,
+            operator: Some(String::new()),
+        })
+        .expect("it serves");
+        let file = |name: &str, zone: &str, undecided: &str| {
+            format!(
+                "[[pool]]\nname = \"p\"\nboxes = \"{name}\"\n[[route]]\nname = \"r\"\nnew = true\npool = \"p\"\n\
+                 [[expect]]\nname = \"e\"\nrequests = {{ new = true }}\nonly = {{ zones = \"{zone}\" }}\n\
+                 undecided = \"{undecided}\"\n"
+            )
+        };
+        let put = |name: &str| {
+            let entry = Entry { id: name.into(), ..Entry::of(&site.boxes[0], State::Active) };
+            site.discovery.put(entry);
+        };
+        let load = |text: String| {
+            std::fs::write(daemon.folder().join("new"), text).expect("written");
+            std::fs::rename(daemon.folder().join("new"), daemon.folder().join("operator.toml"))
+                .expect("renamed");
+            daemon.signal(Signal::SIGHUP).expect("it runs");
+        };
+        load(file("box-9", "kingston", "hold"));
+        logged(&daemon, "routes wait for boxes that are not listed").await;
+        assert!(!daemon.log().iter().any(|l| l.contains("are in force")));
+        put("box-9");
+        logged(&daemon, "routes are in force version=2").await;
+
+        load(file("box-8", "negril", "warn"));
+        logged(&daemon, "routes are in force version=3").await;
+        put("box-8");
+        logged(&daemon, "routes in force break what was expected").await;
+    });
+}
--- a/tests/signals.rs
+++ b/tests/signals.rs
@@ -107,6 +107,8 @@
     tell("-HUP");
     assert!(until("in force").contains("version=2"), "the refused ones were no version");
 
+    tell("-USR1");
+    assert!(until("status").contains("routes=[2]"), "one version, and no request under another");
     for _ in 0..5 {
         tell("-HUP");
     }
