--- /dev/null
+++ b/crates/fleet-state/tests/model.rs
@@ -0,0 +1,255 @@
+//! The exchange itself, checked over every order of events of a small fleet: three instances and one volume, where
+//! datagrams are lost, doubled, late, and instances start anew from nothing.
+
+use rowanglade_fleet_state::exchange::Milli;
+use rowanglade_fleet_state::{Exchange, Message, Peer, Store};
+use stateright::{Checker, Model, Property};
+
+const VOLUME: u64 = 1;
+const INSTANCES: usize = 3;
+/// What a store holds at most, and what all were ever filled with, in thousandths.
+const CAP: Milli = 2;
+const FILLS: u32 = 3;
+const ASKS: u8 = 2;
+const DOUBLES: u8 = 1;
+const STARTS: u8 = 1;
+const STEPS: u64 = 2;
+/// Longer than an ask is held open together with another of its kind.
+const STEP: u64 = 300_000;
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Mutation {
+    None,
+    /// Units are given and kept as well.
+    KeptWhatIsGiven,
+    /// Every grant that comes is accepted, again and again.
+    GrantsNotTold,
+    /// A store takes more than it has room for.
+    NoRoomNeeded,
+    /// An instance that starts owns its part at once.
+    StartsFull,
+    /// It gives of volumes that do not come through it.
+    GivesWhatWasNeverFilled,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Shelf {
+    level: Milli,
+    keeps: bool,
+    bottomless: bool,
+    invents: bool,
+}
+
+impl Store for Shelf {
+    fn give_up(&mut self, _volume: u64, most: Milli) -> Milli {
+        if self.invents && self.level == 0 {
+            return most.min(1);
+        }
+        let given = self.level.min(most);
+        if !self.keeps {
+            self.level -= given;
+        }
+        given
+    }
+
+    fn add(&mut self, _volume: u64, units: Milli) {
+        self.level += units;
+        if !self.bottomless {
+            self.level = self.level.min(CAP);
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+struct Datagram {
+    from: usize,
+    to: usize,
+    message: Message,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct State {
+    now: u64,
+    exchanges: Vec<Exchange>,
+    shelves: Vec<Shelf>,
+    /// In the order of their making; any may come next.
+    network: Vec<Datagram>,
+    filled: u32,
+    spent: u32,
+    asks: u8,
+    doubles: u8,
+    starts: u8,
+    moved: bool,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Event {
+    Fill(usize),
+    Lack(usize),
+    Spend(usize),
+    Deliver(usize),
+    Double(usize),
+    Lose(usize),
+    Start(usize),
+    Pass,
+}
+
+struct Fleet {
+    mutation: Mutation,
+}
+
+impl Fleet {
+    fn shelf(&self, level: Milli) -> Shelf {
+        Shelf {
+            level,
+            keeps: self.mutation == Mutation::KeptWhatIsGiven,
+            bottomless: self.mutation == Mutation::NoRoomNeeded,
+            invents: self.mutation == Mutation::GivesWhatWasNeverFilled,
+        }
+    }
+
+    fn deliver(&self, s: &mut State, datagram: &Datagram) {
+        let Datagram { from, to, message } = datagram;
+        let before = s.shelves[*to].level;
+        if let (Mutation::GrantsNotTold, Message::Grant { gives, .. }) = (self.mutation, message) {
+            gives.iter().for_each(|(v, units)| s.shelves[*to].add(*v, *units));
+            return;
+        }
+        let answer = s.exchanges[*to].heard(s.now, Peer(*from as u16), message, &mut s.shelves[*to]);
+        s.moved |= s.shelves[*to].level > before;
+        if let Some(message) = answer {
+            s.network.push(Datagram { from: *to, to: *from, message });
+        }
+    }
+}
+
+impl Model for Fleet {
+    type State = State;
+    type Action = Event;
+
+    fn init_states(&self) -> Vec<State> {
+        vec![State {
+            now: 0,
+            exchanges: (0..INSTANCES).map(|i| Exchange::new(100 + i as u64)).collect(),
+            shelves: (0..INSTANCES).map(|_| self.shelf(0)).collect(),
+            network: Vec::new(),
+            filled: 0,
+            spent: 0,
+            asks: 0,
+            doubles: 0,
+            starts: 0,
+            moved: false,
+        }]
+    }
+
+    fn actions(&self, s: &State, out: &mut Vec<Event>) {
+        for i in 0..INSTANCES {
+            if s.filled < FILLS && s.shelves[i].level < CAP {
+                out.push(Event::Fill(i));
+            }
+            if s.asks < ASKS {
+                out.push(Event::Lack(i));
+            }
+            if s.shelves[i].level > 0 {
+                out.push(Event::Spend(i));
+            }
+            if s.starts < STARTS {
+                out.push(Event::Start(i));
+            }
+        }
+        for i in 0..s.network.len() {
+            out.extend([Event::Deliver(i), Event::Lose(i)]);
+            if s.doubles < DOUBLES {
+                out.push(Event::Double(i));
+            }
+        }
+        if s.now < STEPS * STEP {
+            out.push(Event::Pass);
+        }
+    }
+
+    fn next_state(&self, last: &State, event: Event) -> Option<State> {
+        let mut s = last.clone();
+        match event {
+            Event::Fill(i) => {
+                s.shelves[i].level += 1;
+                s.filled += 1;
+            }
+            Event::Lack(i) => {
+                s.exchanges[i].lacks(s.now, VOLUME, 4, INSTANCES as u32);
+                let message = s.exchanges[i].poll(s.now)?;
+                s.asks += 1;
+                for to in (0..INSTANCES).filter(|to| *to != i) {
+                    s.network.push(Datagram { from: i, to, message: message.clone() });
+                }
+            }
+            Event::Spend(i) => {
+                s.shelves[i].level -= 1;
+                s.spent += 1;
+            }
+            Event::Deliver(i) => {
+                let datagram = s.network.remove(i);
+                self.deliver(&mut s, &datagram);
+            }
+            Event::Double(i) => {
+                s.doubles += 1;
+                let datagram = s.network[i].clone();
+                self.deliver(&mut s, &datagram);
+            }
+            Event::Lose(i) => drop(s.network.remove(i)),
+            Event::Start(i) => {
+                s.starts += 1;
+                s.exchanges[i] = Exchange::new(200 + i as u64);
+                let full = if self.mutation == Mutation::StartsFull { CAP } else { 0 };
+                s.shelves[i] = self.shelf(full);
+            }
+            Event::Pass => s.now += STEP,
+        }
+        // The order in which datagrams were made does not matter.
+        s.network.sort();
+        Some(s)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always("nothing is minted", |_, s: &State| {
+                s.spent + s.shelves.iter().map(|shelf| shelf.level).sum::<u32>() <= s.filled
+            }),
+            Property::always("no store holds more than its part", |_, s: &State| {
+                s.shelves.iter().all(|shelf| shelf.level <= CAP)
+            }),
+            Property::sometimes("units move", |_, s: &State| s.moved),
+        ]
+    }
+}
+
+fn broken(mutation: Mutation, depth: usize) -> (Vec<&'static str>, usize) {
+    let checker = Fleet { mutation }.checker().target_max_depth(depth).threads(2).spawn_bfs().join();
+    let found = checker.discoveries();
+    if mutation == Mutation::None {
+        assert!(found.contains_key("units move"), "no order of events moves a unit");
+    }
+    let names = ["nothing is minted", "no store holds more than its part"];
+    (names.into_iter().filter(|n| found.contains_key(n)).collect(), checker.unique_state_count())
+}
+
+#[test]
+fn nothing_is_minted_in_any_order_of_events_to_a_depth_of_eight() {
+    let (broken, states) = broken(Mutation::None, 8);
+    assert_eq!(broken, Vec::<&str>::new());
+    assert!(states > 20_000, "the model has shrunk to {states} states");
+}
+
+#[test]
+fn each_mutation_is_caught() {
+    for (mutation, property) in [
+        (Mutation::KeptWhatIsGiven, "nothing is minted"),
+        (Mutation::GrantsNotTold, "nothing is minted"),
+        (Mutation::NoRoomNeeded, "no store holds more than its part"),
+        (Mutation::StartsFull, "nothing is minted"),
+        (Mutation::GivesWhatWasNeverFilled, "nothing is minted"),
+    ] {
+        let found = broken(mutation, 9).0;
+        assert!(found.contains(&property), "{mutation:?}: {found:?}");
+    }
+}
