Move units of limited collections to the instances that are asked for them, off by default

Need: the even split left two thirds of a limit unused where all demand comes through one of three initiators.

Change: the module says when a store runs low and what it can do without; the core owns the exchange and has units taken out of the module's store before they are sent; src/net/fleet.rs carries the datagrams over UDP and drops what is not the fleet's. An operator's [fleet] table sets it up; without it nothing is sent and the module decides as before.

--- /dev/null
+++ b/crates/lab/src/fleet.rs
@@ -0,0 +1,110 @@
+//! Experiments on fleets of instances.
+
+use crate::outcome::{Experiment, Failure, Outcome};
+use crate::world::{self, ZONE, block_on};
+use rowanglade_capture::{Record, TraceWriter};
+use rowanglade_replay::Replay;
+use rowanglade_standin::{BoxPlan, Site};
+use std::net::{SocketAddr, UdpSocket};
+use std::path::Path;
+
+pub fn experiments() -> Vec<Experiment> {
+    let about = "a limited volume through one of three initiators: the limit used, against the even split";
+    vec![Experiment { name: "fleet-share", about, run: share }]
+}
+
+/// Units a second, the store, and the slack of the plan `basic` in [`rowanglade_standin::settings`].
+const LIMIT: f64 = 32.0;
+const BURST: f64 = 48.0;
+const SLACK: f64 = 3.2;
+
+/// Addresses that were free a moment ago.
+fn free(count: usize) -> Result<Vec<SocketAddr>, Failure> {
+    let sockets: Vec<UdpSocket> =
+        (0..count).map(|_| UdpSocket::bind("127.0.0.1:0")).collect::<Result<_, _>>()?;
+    Ok(sockets.iter().map(UdpSocket::local_addr).collect::<Result<_, _>>()?)
+}
+
+/// Requests of one unit of one volume on `basic`, evenly, all of whose time is short of a second try.
+fn make(path: &Path, rate: f64, seconds: f64) -> Result<u64, Failure> {
+    let mut writer = TraceWriter::create(path, &world::header())?;
+    for i in 0..(rate * seconds) as u64 {
+        writer.push(Record {
+            at: (i as f64 / rate * 1e6) as u64,
+            class: 0,
+            plan: 0,
+            volume: 7,
+            piece: i,
+            units: 1.0,
+            shard: Some(0),
+            hosts: 3,
+            deadline_ms: 400,
+            bytes: 100,
+            key: None,
+            status: 200,
+            took: None,
+        })?;
+    }
+    Ok(writer.finish()?)
+}
+
+fn share() -> Result<Outcome, Failure> {
+    block_on(async {
+        let folder = tempfile::tempdir()?;
+        let (trace, warm) = (folder.path().join("made.trace"), folder.path().join("warm.trace"));
+        let seconds = 14.0;
+        make(&trace, 80.0, seconds)?;
+        // A little traffic through all three, so that each knows the volume.
+        make(&warm, 2.0, 2.0)?;
+        let key = folder.path().join("fleet.key");
+        std::fs::write(&key, "5a".repeat(32))?;
+        let mut out = Outcome::default();
+        let mut used = Vec::new();
+        for exchange in [false, true] {
+            let plan = BoxPlan { remember: true, ..world::plan(2, 2, 2) };
+            let site = Site::start(&[plan], ZONE, 5).await?;
+            let peers = free(3)?;
+            let list: Vec<String> = peers.iter().map(|p| format!("\"{p}\"")).collect();
+            let daemons = world::daemons(&site, &world::header(), 3, |me| {
+                let (peers, key) = (list.join(", "), key.display());
+                exchange.then(|| format!("[fleet]\npeers = [{peers}]\nme = {me}\nkey_file = \"{key}\"\n"))
+            })?;
+            let all = world::addresses(&daemons);
+            for addr in &all {
+                world::run(&warm, &Replay { retries: false, ..Replay::to(vec![*addr]) }).await?;
+            }
+            let before = site.boxes[0].seen().len();
+            // All of it through the first.
+            let report = world::run(&trace, &Replay { retries: false, ..Replay::to(vec![all[0]]) }).await?;
+            let seen: Vec<f64> = {
+                let seen = site.boxes[0].seen();
+                let first = seen[0].0;
+                seen.iter().map(|(at, _)| at.duration_since(first).as_secs_f64()).collect()
+            };
+            // In any window the units that reached the box are at most the store and what fills it.
+            let mut worst = f64::MIN;
+            for (i, from) in seen.iter().enumerate() {
+                for (j, until) in seen.iter().enumerate().skip(i) {
+                    worst = worst.max((j - i + 1) as f64 - BURST - LIMIT * (until - from));
+                }
+            }
+            // The last ten seconds: the stores' first content is spent by then.
+            let end = seen.last().copied().unwrap_or(0.0);
+            let late = seen.iter().skip(before).filter(|at| **at > end - 10.0).count() as f64 / 10.0;
+            let round = if exchange { "exchange" } else { "even split" };
+            out.figure(format!("{round}: asked"), 80.0, "units/s");
+            out.figure(format!("{round}: served in the last ten seconds"), late, "units/s");
+            out.figure(format!("{round}: of the limit"), late / LIMIT, "");
+            out.figure(format!("{round}: refused"), report.total().refused as f64, "");
+            out.figure(format!("{round}: units beyond store and filling, at worst"), worst, "");
+            out.claim(format!("{round}: the limit and its slack are kept in every window"), worst <= SLACK);
+            let total = report.total();
+            let words = total.served + total.refused + total.failed + total.lost + total.unsent;
+            out.claim(format!("{round}: each request has one last word"), words == total.due);
+            used.push(late / LIMIT);
+        }
+        out.claim("the even split leaves more than half of the limit", used[0] < 0.5);
+        out.claim("with the exchange 0.9 of the limit is used", used[1] >= 0.9);
+        Ok(out)
+    })
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 mod capture;
+mod fleet;
 mod outcome;
 mod replays;
 mod routes;
@@ -24,7 +25,7 @@
 
 /// All experiments, in the order of `list`.
 fn experiments() -> Vec<Experiment> {
-    [replays::experiments(), capture::experiments(), routes::experiments()].concat()
+    [replays::experiments(), capture::experiments(), routes::experiments(), fleet::experiments()].concat()
 }
 
 fn main() -> ExitCode {
--- a/src/bin/rowanglade-benchlink/wire.rs
+++ b/src/bin/rowanglade-benchlink/wire.rs
@@ -332,6 +332,8 @@
             Action::Wake { token, after } => What::WakeAt { token, offset: after },
             Action::Watch => What::Subscribe { active: true },
             Action::FetchList => What::Resolve {},
+            // The simulator's instances talk of no units.
+            Action::Lacks { .. } | Action::Spared { .. } => return None,
             Action::Probe { node } => What::Check { store: names.node_name(node)?.to_string() },
         };
         Some(Sent { inst, what })
--- a/src/config.rs
+++ b/src/config.rs
@@ -2,10 +2,12 @@
 //! the platform hands over.
 
 use crate::names::Names;
+use crate::net::fleet::Peers;
 use crate::net::http::Page;
 use crate::net::iscsi::Lun;
 use crate::rules::Gateway;
 use crate::settings::Settings;
+use rowanglade_fleet_state::Peer;
 use rowanglade_routing::check::Decision;
 use rowanglade_routing::{BoxInfo, Report, Rules, Source, Terms, Verdict};
 use serde::Deserialize;
@@ -31,6 +33,8 @@
     /// Absent where no operator set it up.
     pub access_log: Option<AccessLog>,
     pub routing: Routing,
+    /// Absent where instances do not talk to each other.
+    pub fleet: Option<Peers>,
 }
 
 /// Routes and expectations, and what of the settings they are about.
@@ -244,6 +248,7 @@
             iscsi,
             access_log: operator.access_log.map(AccessLog::check).transpose()?,
             routing: Routing { rules, terms },
+            fleet: operator.fleet.map(FleetTable::check).transpose()?,
         };
         config.decide()?;
         Ok(config)
@@ -327,6 +332,7 @@
 struct Operator {
     iscsi: Option<IscsiTable>,
     access_log: Option<AccessLog>,
+    fleet: Option<FleetTable>,
     // What routing reads for itself.
     #[serde(rename = "pool")]
     _pool: Option<IgnoredAny>,
@@ -393,6 +399,11 @@
                 (Some(iscsi), None) => all.iscsi = Some(iscsi),
                 (None, _) => {}
             }
+            match (operator.fleet, &all.fleet) {
+                (Some(_), Some(_)) => return twice("fleet"),
+                (Some(fleet), None) => all.fleet = Some(fleet),
+                (None, _) => {}
+            }
             match (operator.access_log, &all.access_log) {
                 (Some(_), Some(_)) => return twice("access_log"),
                 (Some(log), None) => all.access_log = Some(log),
@@ -404,6 +415,39 @@
     }
 }
 
+/// The other instances, and the key that all of them have.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FleetTable {
+    peers: Vec<SocketAddr>,
+    me: usize,
+    key_file: PathBuf,
+}
+
+impl FleetTable {
+    fn check(self) -> Result<Peers, ConfigError> {
+        if self.peers.len() > usize::from(u16::MAX) || self.me >= self.peers.len() {
+            return Err(ConfigError::new("fleet.me", format!("{} is no place in fleet.peers", self.me)));
+        }
+        if let Some(i) = (1..self.peers.len()).find(|i| self.peers[..*i].contains(&self.peers[*i])) {
+            return Err(ConfigError::new(format!("fleet.peers[{i}]"), "is there twice"));
+        }
+        let wrong = |problem: &dyn fmt::Display| {
+            ConfigError::new("fleet.key_file", format!("{}: {problem}", self.key_file.display()))
+        };
+        let text = std::fs::read_to_string(&self.key_file).map_err(|e| wrong(&e))?;
+        let (text, mut key) = (text.trim(), [0; 32]);
+        if text.len() != 64 || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
+            // The key itself is never told.
+            return Err(wrong(&"is not 64 hex digits"));
+        }
+        for (i, byte) in key.iter_mut().enumerate() {
+            *byte = u8::from_str_radix(&text[2 * i..2 * i + 2], 16).map_err(|e| wrong(&e))?;
+        }
+        Ok(Peers { addrs: self.peers, me: Peer(self.me as u16), key })
+    }
+}
+
 impl IscsiTable {
     fn check(self, settings: &Settings) -> Result<Iscsi, ConfigError> {
         let positive = |key: &str, value: u64| match value {
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -2,15 +2,18 @@
 
 use crate::core::attempt::{Attempt, Connect, Probe, ProbeReport, Report, TargetMessage};
 use crate::core::clock::{Clock, micros};
+use crate::core::fleet::{Fleet, milli};
 use crate::core::mailbox::{Ids, Inbox};
 use crate::core::message::{Answer, ListMessage, Listed, Message, Order, Reply, Wire};
 use crate::core::routes::{Loaded, Routes};
 use crate::interface::{
     Action, Attempt as Number, Entry, Event, KeyId, ListKind, Load, Micros, NodeId, NodeState, Outcome,
-    ReachId, Request, RequestId, ShardId,
+    ReachId, Request, RequestId, ShardId, VolumeId,
 };
 use crate::names::Names;
 use crate::rules::Gateway;
+use rowanglade_fleet_state::exchange::Milli;
+use rowanglade_fleet_state::{Exchange, Message as PeerMessage, Peer, Store};
 use rowanglade_routing::BoxInfo;
 use std::cell::Cell;
 use std::cmp::Reverse;
@@ -49,6 +52,14 @@
     mailbox: mpsc::Sender<TargetMessage>,
 }
 
+/// What stands beside the module.
+pub struct Beside {
+    /// The routes to be in force.
+    pub table: watch::Receiver<Arc<Loaded>>,
+    /// Absent where instances do not talk to each other.
+    pub fleet: Option<Fleet>,
+}
+
 /// The actor; [`Core::run`] is its life.
 pub struct Core {
     gateway: Gateway,
@@ -74,6 +85,31 @@
     /// The table to be in force; a new one is taken up between two messages.
     table: watch::Receiver<Arc<Loaded>>,
     boxes: watch::Sender<Arc<Vec<BoxInfo>>>,
+    /// Absent where no peer may be talked to.
+    fleet: Option<Fleet>,
+    /// What the module said last that it can do without.
+    spared: f64,
+}
+
+/// The module's stores, as the exchange sees them.
+struct Stores<'a> {
+    core: &'a mut Core,
+    id: &'a dyn Fn(u64) -> Option<VolumeId>,
+}
+
+impl Store for Stores<'_> {
+    fn give_up(&mut self, volume: u64, most: Milli) -> Milli {
+        let Some(volume) = (self.id)(volume) else { return 0 };
+        self.core.spared = 0.0;
+        self.core.feed(Event::Spare { volume, most: f64::from(most) / 1e3 });
+        milli(self.core.spared)
+    }
+
+    fn add(&mut self, volume: u64, units: Milli) {
+        if let Some(volume) = (self.id)(volume) {
+            self.core.feed(Event::Units { volume, units: f64::from(units) / 1e3 });
+        }
+    }
 }
 
 impl Core {
@@ -84,8 +120,9 @@
         inbox: Inbox,
         list: mpsc::Sender<ListMessage>,
         connect: Connect,
-        mut table: watch::Receiver<Arc<Loaded>>,
+        beside: Beside,
     ) -> Core {
+        let Beside { mut table, fleet } = beside;
         let Inbox { rx, tx, ready, open, ids, boxes } = inbox;
         let routes = Routes::new(Arc::clone(&table.borrow_and_update()));
         Core {
@@ -108,6 +145,8 @@
             routes,
             table,
             boxes,
+            fleet,
+            spared: 0.0,
         }
     }
 
@@ -118,7 +157,8 @@
             let timer = self.timers.peek().map(|Reverse((at, _))| *at);
             let backstop = self.backstops.first().map(|(at, _)| *at);
             let trust_at = (!self.trusting).then_some(trust);
-            let until = [timer, backstop, trust_at].into_iter().flatten().min();
+            let ask = self.fleet.as_ref().and_then(|f| f.exchange.wake());
+            let until = [timer, backstop, trust_at, ask].into_iter().flatten().min();
             let clock = self.clock;
             let pause = async {
                 match until {
@@ -169,6 +209,7 @@
                     }
                 }
             }
+            Message::Peer(from, message) => self.peer(from, &message),
             Message::Status => {
                 let (open, targets, routes) = (self.open.get(), self.targets.len(), self.routes.versions());
                 tracing::info!(open, targets, ?routes, ready = *self.ready.borrow(), "status");
@@ -181,6 +222,20 @@
         }
     }
 
+    /// A peer's datagram; the answer goes back to it.
+    fn peer(&mut self, from: Peer, message: &PeerMessage) {
+        let now = self.clock.now();
+        let Some(mut fleet) = self.fleet.take() else { return };
+        let mut exchange = std::mem::replace(&mut fleet.exchange, Exchange::new(0));
+        let id = |volume| fleet.id(volume);
+        let answer = exchange.heard(now, from, message, &mut Stores { core: self, id: &id });
+        fleet.exchange = exchange;
+        if let Some(answer) = answer {
+            fleet.send((Some(from), answer));
+        }
+        self.fleet = Some(fleet);
+    }
+
     fn submit(&mut self, id: RequestId, order: Order, answer: oneshot::Sender<Answer>) {
         let deadline = self.clock.now() + micros(order.time_left.min(LONGEST_WAIT));
         let reach = self.routes.take(&order);
@@ -198,6 +253,9 @@
             reach,
         };
         let attempts = Vec::new();
+        if let Some(fleet) = &mut self.fleet {
+            fleet.seen(order.volume, request.volume);
+        }
         let open = Open { order: Rc::new(order), deadline, answer: Some(answer), attempts, reach };
         self.requests.insert(id, open);
         self.open.set(self.open.get() + 1);
@@ -310,6 +368,11 @@
     /// Timers and backstops that are due.
     fn due(&mut self) {
         let now = self.clock.now();
+        if let Some(fleet) = &mut self.fleet
+            && let Some(want) = fleet.exchange.poll(now)
+        {
+            fleet.send((None, want));
+        }
         while let Some(&Reverse((at, token))) = self.timers.peek()
             && at <= now
         {
@@ -358,6 +421,12 @@
             Action::Wake { token, after } => self.timers.push(Reverse((now + after, token))),
             Action::Watch => self.ask(ListMessage::Watch),
             Action::FetchList => self.ask(ListMessage::Fetch),
+            Action::Lacks { volume, units, gateways } => {
+                if let Some(fleet) = &mut self.fleet {
+                    fleet.lacks(now, volume, units, gateways);
+                }
+            }
+            Action::Spared { units, .. } => self.spared = units,
             Action::Probe { node } => {
                 let until = self.clock.instant(now + 1_000_000);
                 let place = self.tx.upgrade().and_then(|tx| tx.try_reserve_owned().ok());
@@ -459,7 +528,15 @@
                 let (inbox, handle) = mailbox(&settings, None);
                 let (list, _calls) = mpsc::channel(4);
                 let (_routes, table) = watch::channel(Arc::default());
-                let core = Core::new(gateway, names, Clock::start(), inbox, list, connect(), table);
+                let core = Core::new(
+                    gateway,
+                    names,
+                    Clock::start(),
+                    inbox,
+                    list,
+                    connect(),
+                    Beside { table, fleet: None },
+                );
                 tokio::select! {
                     () = core.run() => panic!("the core ended"),
                     () = with(handle) => {}
--- a/src/core/message.rs
+++ b/src/core/message.rs
@@ -2,6 +2,7 @@
 
 use crate::interface::{Attempt as Number, Load, Micros, NodeId, NodeState, Outcome, RequestId};
 use bytes::Bytes;
+use rowanglade_fleet_state::Peer;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -117,6 +118,8 @@
     End,
     /// What the core is at goes to the log.
     Status,
+    /// Another instance said something.
+    Peer(Peer, rowanglade_fleet_state::Message),
     Ended {
         id: RequestId,
         number: Number,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,14 +5,16 @@
 mod actor;
 mod attempt;
 mod clock;
+mod fleet;
 mod mailbox;
 mod message;
 mod routes;
 
 pub use access_log::AccessLog;
-pub use actor::Core;
+pub use actor::{Beside, Core};
 pub use attempt::{Attempt, Connect, Probe, ProbeReport, Report, TargetMessage};
 pub use clock::{Clock, micros};
+pub use fleet::{Fleet, Outgoing};
 pub use mailbox::{Handle, Inbox, Pending, Unfit, mailbox};
 pub use message::*;
 pub use routes::{Loaded, Routes};
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -343,6 +343,16 @@
         reach: ReachId,
         nodes: Option<Vec<NodeId>>,
     },
+    /// Another gateway lacks units of a limited volume: [`Action::Spared`] says what this one can do without.
+    Spare {
+        volume: VolumeId,
+        most: f64,
+    },
+    /// Another gateway gave up units of a limited volume for this one.
+    Units {
+        volume: VolumeId,
+        units: f64,
+    },
     Probed {
         node: NodeId,
         outcome: Outcome,
@@ -388,4 +398,15 @@
     Probe {
         node: NodeId,
     },
+    /// A request draws on a store of units that runs low here; others may have some to spare.
+    Lacks {
+        volume: VolumeId,
+        units: f64,
+        gateways: u32,
+    },
+    /// Units that are no longer in this gateway's store: the answer to [`Event::Spare`].
+    Spared {
+        volume: VolumeId,
+        units: f64,
+    },
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,4 +1,5 @@
 //! The fronts, the targets and the list on their wires.
 
+pub mod fleet;
 pub mod http;
 pub mod iscsi;
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,9 +1,11 @@
 //! Puts an initiator together and runs it until it is told to end.
 
 use crate::config::{Config, ConfigError, Decided, Iscsi, Limits, Reload, Routing};
-use crate::core::{self, AccessLog, Clock, Connect, Core, Handle, Listed, Loaded, Message, Wire};
+use crate::core::{
+    self, AccessLog, Beside, Clock, Connect, Core, Fleet, Handle, Listed, Loaded, Message, Wire,
+};
 use crate::interface::{ListKind, NodeState};
-use crate::net::{http, iscsi};
+use crate::net::{fleet, http, iscsi};
 use crate::settings::Settings;
 use rowanglade_routing::check::Decision;
 use rowanglade_routing::{BoxInfo, Table};
@@ -12,7 +14,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
@@ -40,6 +42,9 @@
 /// How long a connection to a target rests after an answer: what a target sends behind one shows by then.
 const REST: Duration = Duration::from_millis(10);
 
+/// Datagrams to peers that may wait; what finds no room is lost, as it could be on its way.
+const PEER_MAILBOX: usize = 256;
+
 /// Why the program could not serve.
 #[derive(Debug)]
 pub enum Error {
@@ -247,7 +252,17 @@
         }
         let (table, in_force) =
             watch::channel(Arc::new(Loaded { version: 1, table: routing.rules.table.clone() }));
-        actix_rt::spawn(Core::new(gateway, names, clock, inbox, ask, connect, in_force).run());
+        let fleet = match config.fleet {
+            None => None,
+            Some(peers) => {
+                let socket = UdpSocket::bind(peers.addrs[usize::from(peers.me.0)]).await?;
+                let (out, outgoing) = mpsc::channel(PEER_MAILBOX);
+                actix_rt::spawn(fleet::run(socket, peers, core.clone(), outgoing));
+                Some(Fleet::new(incarnation(), out))
+            }
+        };
+        let beside = Beside { table: in_force, fleet };
+        actix_rt::spawn(Core::new(gateway, names, clock, inbox, ask, connect, beside).run());
         let version = config.known.as_ref().map(http::Page::version);
         // The module asks for the list once it hears of anything: of a list that it never had, too.
         core.tell(http::remembered(config.known.unwrap_or_default())).await;
@@ -347,6 +362,12 @@
     }
 }
 
+/// A number that no other life of an instance has: of the system's randomness, which seeds hash maps.
+fn incarnation() -> u64 {
+    use std::hash::{BuildHasher, Hasher, RandomState};
+    RandomState::new().build_hasher().finish()
+}
+
 /// Looks again and again; the end of a program is no time to have everyone tell.
 async fn until(reached: impl Fn() -> bool) {
     while !reached() {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -44,6 +44,10 @@
 const LEVEL_FLOOR: f64 = 0.1;
 /// Clients are told to stay away for this long at least.
 const SHORTEST_ADVICE: Micros = 20_000;
+/// Below this part of its store a gateway asks others for units, and gives none.
+const LOW_PART: f64 = 0.25;
+/// A gateway keeps what its own requests ask in so many seconds.
+const KEPT_SECONDS: f64 = 0.5;
 /// How often held requests are looked at again.
 const TICK: Micros = 10_000;
 /// A node that turned a request away or could not be reached rests this long, doubled at each further one.
@@ -139,6 +143,7 @@
     served: Rate,
     meter: Option<(Micros, f64)>, // units a second served everywhere, and when that was told
     seen: Micros,
+    limited: Option<(Limit, f64)>, // and the gateways that its requests come through
     parts: BTreeMap<ShardId, Part>,
 }
 
@@ -227,6 +232,15 @@
             Event::Reach { reach, nodes: None } => {
                 self.reaches.remove(&reach);
             }
+            Event::Spare { volume, most } => {
+                let units = self.spare(now, volume, most);
+                act.push(Action::Spared { volume, units });
+            }
+            Event::Units { volume, units } => {
+                if let Some((left, cap)) = self.store(now, volume) {
+                    self.limits.insert(volume, ((left + units.max(0.0)).min(cap), now));
+                }
+            }
             Event::Probed { .. } => {}
             Event::Wake { token } => {
                 if self.wake_at == Some(token) {
@@ -279,6 +293,15 @@
             gateways: if r.gateways == 0 { self.s.gateways.max(1) } else { r.gateways } as f64,
             ..Held::default()
         };
+        // Others may have units to spare: they are asked before the store is empty.
+        let limit = held.plan.and_then(|p| self.s.plans[p.0 as usize].limit);
+        if let (Some(l), Some((left, ..))) = (limit, self.limit(now, &held)) {
+            let v = self.volumes.entry(r.volume).or_default();
+            (v.limited, v.seen) = (Some((l, held.gateways)), now);
+            if left - units < LOW_PART * l.burst / held.gateways {
+                act.push(Action::Lacks { volume: r.volume, units, gateways: held.gateways as u32 });
+            }
+        }
         if let (true, Some(key)) = (c.in_order, r.key) {
             self.turns.entry(key).or_default().0.push_back(r.id);
         }
@@ -603,6 +626,25 @@
         Some((left, lacking, (lacking.max(0.0) / l.rate * h.gateways * 1e6).min(1e15) as Micros))
     }
 
+    /// What this gateway's store of a volume holds, and at most; none where no request of it came.
+    fn store(&self, now: Micros, volume: VolumeId) -> Option<(f64, f64)> {
+        let (l, gateways) = self.volumes.get(&volume)?.limited?;
+        let (left, at) = self.limits.get(&volume).copied().unwrap_or((0.0, self.born.unwrap_or(now)));
+        let filled = now.saturating_sub(at) as f64 / 1e6 * l.rate / gateways;
+        Some(((left + filled).min(l.burst / gateways), l.burst / gateways))
+    }
+
+    /// Takes out of a volume's store what its own requests do not need soon.
+    fn spare(&mut self, now: Micros, volume: VolumeId, most: f64) -> f64 {
+        let Some((left, cap)) = self.store(now, volume) else { return 0.0 };
+        let own = self.volumes.get(&volume).map_or(0.0, |v| v.asked.per_second(now) * KEPT_SECONDS);
+        let units = (left - own - LOW_PART * cap).min(most).max(0.0);
+        if units > 0.0 {
+            self.limits.insert(volume, (left - units, now));
+        }
+        units
+    }
+
     fn may_repeat(&self, now: Micros, h: &Held, node: NodeId) -> bool {
         if h.tries.iter().any(|t| t.ran == Ran::Out) {
             return false;
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -363,3 +363,32 @@
     assert_eq!(sends(&bench.outcome(2, 0, 0, Outcome::Full, MS)), Vec::<u64>::new());
     assert_eq!(sends(&bench.pass(SECOND)).iter().filter(|id| **id == 2).count(), 0);
 }
+
+// A store that runs low asks for units, one that can do without gives them, and neither makes any.
+#[test]
+fn units_move_between_stores_and_are_not_made() {
+    let volume = VolumeId(1);
+    let limited = |id| Request { plan: Some(PlanId(1)), gateways: 2, ..request(id, READ) };
+    let spared = |actions: &[Action]| {
+        actions.iter().find_map(|a| if let Action::Spared { units, .. } = a { Some(*units) } else { None })
+    };
+    let mut bench = Bench::new(settings(), &[entry(0, 0)]);
+    assert_eq!(
+        spared(&bench.event(Event::Spare { volume, most: 5.0 })),
+        Some(0.0),
+        "none of its requests came"
+    );
+    let lacks = |actions: &[Action]| actions.iter().any(|a| matches!(a, Action::Lacks { gateways: 2, .. }));
+    assert!(lacks(&bench.take(limited(1))), "it starts with an empty store");
+    bench.served(1, MS);
+    // Its half of the store, 10 units, is full by now; a quarter of it, and what is asked here, is kept.
+    bench.pass(30 * SECOND);
+    let first = spared(&bench.event(Event::Spare { volume, most: 5.0 })).expect("an answer");
+    assert!((first - 5.0).abs() < 1e-9, "{first}");
+    let second = spared(&bench.event(Event::Spare { volume, most: 50.0 })).expect("an answer");
+    assert!((second - 2.5).abs() < 0.1, "{second}");
+    assert_eq!(spared(&bench.event(Event::Spare { volume, most: 50.0 })), Some(0.0));
+    bench.event(Event::Units { volume, units: 500.0 });
+    let back = spared(&bench.event(Event::Spare { volume, most: 50.0 })).expect("an answer");
+    assert!((back - 7.5).abs() < 0.1, "no more than the store holds: {back}");
+}
