--- a/crates/capture/src/mapping.rs
+++ b/crates/capture/src/mapping.rs
@@ -622,15 +622,7 @@
         let text = text.trim();
         // The key itself is never told.
         let wrong = || source.error(Some(&at), key, "is not 64 hex digits");
-        if text.len() != 64 || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
-            return Err(wrong());
-        }
-        let mut bytes = [0; 32];
-        for (byte, pair) in bytes.iter_mut().zip(text.as_bytes().chunks(2)) {
-            let pair = std::str::from_utf8(pair).map_err(|_| wrong())?;
-            *byte = u8::from_str_radix(pair, 16).map_err(|_| wrong())?;
-        }
-        Ok(bytes)
+        Ok(*blake3::Hash::from_hex(text).map_err(|_| wrong())?.as_bytes())
     }
 }
 
--- a/crates/fleet-state/src/wire.rs
+++ b/crates/fleet-state/src/wire.rs
@@ -20,6 +20,11 @@
 /// The fleet's key.
 pub type Key = [u8; 32];
 
+/// The key that 64 hex digits say.
+pub fn key(text: &str) -> Option<Key> {
+    blake3::Hash::from_hex(text).ok().map(|hash| *hash.as_bytes())
+}
+
 /// Why a datagram is not taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Malformed {
--- a/crates/routing/src/file.rs
+++ b/crates/routing/src/file.rs
@@ -24,9 +24,6 @@
     pub expectations: Vec<Expectation>,
 }
 
-/// What becomes of expectations that cannot be decided yet.
-pub type Policy = Undecided;
-
 /// What is wrong with a file: where, and under which key.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("{origin}{problem}")]
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -21,6 +21,6 @@
 
 pub use check::{Finding, Report, Verdict, Warning, check};
 pub use expect::{Expectation, Must};
-pub use file::{Policy, RouteError, Rules, Source, Terms, parse};
+pub use file::{RouteError, Rules, Source, Terms, parse};
 pub use sets::{Addresses, Match, Selector};
 pub use table::{BoxInfo, BoxState, Front, Origin, Pool, Request, Route, Table};
--- a/src/config.rs
+++ b/src/config.rs
@@ -7,7 +7,7 @@
 use crate::net::iscsi::Lun;
 use crate::rules::Gateway;
 use crate::settings::Settings;
-use rowanglade_fleet_state::Peer;
+use rowanglade_fleet_state::{Peer, wire::key};
 use rowanglade_routing::check::Decision;
 use rowanglade_routing::{BoxInfo, Report, Rules, Source, Terms, Verdict};
 use serde::Deserialize;
@@ -436,14 +436,8 @@
             ConfigError::new("fleet.key_file", format!("{}: {problem}", self.key_file.display()))
         };
         let text = std::fs::read_to_string(&self.key_file).map_err(|e| wrong(&e))?;
-        let (text, mut key) = (text.trim(), [0; 32]);
-        if text.len() != 64 || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
-            // The key itself is never told.
-            return Err(wrong(&"is not 64 hex digits"));
-        }
-        for (i, byte) in key.iter_mut().enumerate() {
-            *byte = u8::from_str_radix(&text[2 * i..2 * i + 2], 16).map_err(|e| wrong(&e))?;
-        }
+        // The key itself is never told.
+        let key = key(text.trim()).ok_or_else(|| wrong(&"is not 64 hex digits"))?;
         Ok(Peers { addrs: self.peers, me: Peer(self.me as u16), key })
     }
 }
