Spread the calls for the list over the span in which each instance has to ask once

Ruled out: a discovery that is down (the 13 watches that stood from the start went on and got all news); whole lists instead of changes (every call asked from its version). A call that was given up stays in discovery's queue, so callers that retry fast keep it busy with calls that nobody waits for.

At fault: Gateway::ask, which asks with the first event of a life, and Gateway::list, which after a failure asks again within 0.1 s to ask_within / 4 whatever the number of instances. Failures wait a turn, doubled. Of four instances the turn is 0.4 s.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -205,7 +205,11 @@
     }
 
     pub fn handle(&mut self, now: Micros, event: Event, act: &mut Vec<Action>) {
-        self.born.get_or_insert(now);
+        if self.born.is_none() {
+            self.born = Some(now);
+            // Gateways that start together would all ask at once, and all wait too long.
+            self.ask_at = now + (self.turn_to_ask() as f64 * self.rand()) as Micros;
+        }
         match event {
             Event::Request(r) => self.request(now, r, act),
             Event::Outcome { id, attempt, outcome, took, over, used, elsewhere, .. } => {
@@ -930,6 +934,12 @@
         }
     }
 
+    /// The span within which every gateway asks for the list once. One service answers all in turn, and the
+    /// rules want no more of each than one call in `ask_within`.
+    fn turn_to_ask(&self) -> Micros {
+        (ASK_AGAIN * u64::from(self.s.gateways.max(1))).min(self.s.rules.ask_within)
+    }
+
     fn ask(&mut self, now: Micros, act: &mut Vec<Action>) {
         if self.s.list_is_asked && !self.watching && !self.asked && now >= self.ask_at {
             self.asked = true;
@@ -939,15 +949,16 @@
 
     fn list(&mut self, now: Micros, kind: ListKind, entries: &[Entry], act: &mut Vec<Action>) {
         if kind == ListKind::Failed {
-            let wait = self.ask_wait.max(ASK_AGAIN);
+            let turn = self.turn_to_ask();
+            let wait = self.ask_wait.max(turn);
             let shaded = (wait as f64 * (0.5 + self.rand())) as Micros;
             (self.asked, self.watching, self.ask_at) = (false, false, now + shaded);
-            self.ask_wait = (wait * 2).min((self.s.rules.ask_within / 4).max(ASK_AGAIN));
+            self.ask_wait = (wait * 2).min((self.s.rules.ask_within / 4).max(turn));
             return;
         }
         if kind != ListKind::Remembered {
             self.watching |= self.asked;
-            (self.asked, self.ask_wait) = (false, ASK_AGAIN);
+            (self.asked, self.ask_wait) = (false, 0);
         }
         if kind != ListKind::Changes {
             let listed = |id: &NodeId| entries.iter().any(|e| e.node == *id);
--- a/tests/many_gateways.rs
+++ b/tests/many_gateways.rs
@@ -130,3 +130,45 @@
     // Node 0 was never heard: it counts as the mean.
     assert_eq!(sends(&b.take(request(900, READ))), [900]);
 }
+
+// All called at once after a mass restart, most waited too long, and discovery went on with calls that nobody
+// waited for any more: with every retry it fell further behind, and for ten seconds nobody was told of the list.
+#[test]
+fn gateways_that_start_together_do_not_keep_discovery_from_answering_them() {
+    const GATEWAYS: u32 = 100;
+    const CALL: Micros = 90 * MS; // so it can answer each of them once in ask_within, and hardly more
+    const PATIENCE: Micros = 2 * SECOND;
+    let mut s = settings();
+    (s.gateways, s.list_is_asked, s.rules.ask_within) = (GATEWAYS, true, 10 * SECOND);
+    let mut all: Vec<Bench> = (0..GATEWAYS).map(|g| Bench::unlisted(s.clone(), u64::from(g))).collect();
+    let mut calls: VecDeque<(usize, Micros, bool)> = VecDeque::new(); // whose, since when, whether given up
+    let (mut free_at, mut told, mut failed) = (all[0].now, 0, 0);
+    for step in 0..1_200 {
+        let now = all[0].now + 10 * MS;
+        for (g, b) in all.iter_mut().enumerate() {
+            let mut actions = b.pass(10 * MS);
+            if step == 0 {
+                actions.extend(b.list(ListKind::Remembered, &[entry(0, 0)]));
+            }
+            if actions.contains(&Action::Watch) {
+                calls.push_back((g, now, false));
+            }
+        }
+        for call in calls.iter_mut().filter(|(_, since, given_up)| !given_up && now > since + PATIENCE) {
+            call.2 = true;
+            failed += 1;
+            all[call.0].list(ListKind::Failed, &[]);
+        }
+        while now >= free_at
+            && let Some((g, since, given_up)) = calls.pop_front()
+        {
+            free_at = free_at.max(since) + CALL;
+            if !given_up {
+                told += 1;
+                all[g].list(ListKind::Changes, &[]);
+            }
+        }
+    }
+    assert!(told >= 95, "{told} of {GATEWAYS} were told in 12 s; {failed} calls failed");
+    assert!(failed <= 20, "{failed} calls failed");
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -93,12 +93,17 @@
     }
 
     pub fn seeded(settings: Settings, entries: &[Entry], seed: u64) -> Bench {
-        let gateway = Gateway::new(settings.clone(), seed).expect("usable settings");
-        let mut bench = Bench { gateway, now: 100 * SECOND, timers: Vec::new(), settings };
+        let mut bench = Bench::unlisted(settings, seed);
         bench.list(ListKind::Remembered, entries);
         bench
     }
 
+    /// One that has not even a remembered list yet.
+    pub fn unlisted(settings: Settings, seed: u64) -> Bench {
+        let gateway = Gateway::new(settings.clone(), seed).expect("usable settings");
+        Bench { gateway, now: 100 * SECOND, timers: Vec::new(), settings }
+    }
+
     pub fn event(&mut self, event: Event) -> Vec<Action> {
         let mut actions = Vec::new();
         self.gateway.handle(self.now, event, &mut actions);
