Call an attempt that is alone at a box off the later, the less is known of the box

At fault: Gateway::call_off_lost. An attempt alone is judged by the latency predicted for its box, and where a box was not heard for some seconds, as is usual for 100 instances at 60 boxes, that is the mean of all boxes, of which a slow one is no part. Now the least wait grows as that knowledge fades; a box heard a moment ago is judged as before.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -867,11 +867,11 @@
     fn call_off_lost(&mut self, now: Micros, act: &mut Vec<Action>) {
         let mut lost = Vec::new();
         for (node, n) in self.nodes.iter().filter(|_| self.s.may_cancel) {
-            let latency = self.learned(now, *node).1;
+            let (latency, known) = (self.learned(now, *node).1, self.known(now, n.heard));
             for (sent, id, i) in n.out.keys() {
                 let Some(t) = self.requests.get(id).and_then(|h| h.tries.get(*i as usize)) else { continue };
                 let (waited, patience) = ((now - sent) as f64, LOST_AFTER * latency.max(t.predicted));
-                let alone = (2.0 * patience).max(AIM_PART * self.tightest as f64);
+                let alone = (2.0 * patience).max(AIM_PART * self.tightest as f64 / known);
                 let overtaken = n.answers.iter().filter(|s| *s > sent).count() >= OVERTAKEN;
                 if !t.lost && (overtaken && waited > patience || n.out.len() == 1 && waited > alone) {
                     lost.push((*id, *i));
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -392,3 +392,18 @@
     let back = spared(&bench.event(Event::Spare { volume, most: 50.0 })).expect("an answer");
     assert!((back - 7.5).abs() < 0.1, "no more than the store holds: {back}");
 }
+
+// Where a fleet spreads its traffic thin, most attempts meet a node that was not heard for seconds. Judged by what
+// others' latencies predict, those at slow nodes were called off, ran on all the same, and were sent once more.
+#[test]
+fn an_attempt_alone_is_called_off_soon_only_where_its_node_was_heard_lately() {
+    let cancelled = |unheard: Micros| {
+        let mut b = heard(20 * MS);
+        b.pass(unheard);
+        assert_eq!(sends(&b.take(request(1, KEYED))), [1]);
+        let actions = b.pass(400 * MS);
+        actions.contains(&Action::Cancel { id: RequestId(1), attempt: Attempt(0) })
+    };
+    assert!(cancelled(0), "a silent connection must not hold it to the end");
+    assert!(!cancelled(4 * SECOND), "it may just be slow");
+}
