Wait before a failed call for the list is made again, also where no ask_within is told

Found on reading the change again: Gateway::turn_to_ask is zero where the settings have discovery asked but tell no must-ask-in, so a failed call was made again at once, without end. On the platform must-ask-in is told and nothing changes.

Checked: the new test fails without the change's floor (a turn of zero asks within 40 ms); tests of the module pass.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -939,7 +939,7 @@
     /// The span within which every gateway asks for the list once. One service answers all in turn, and the
     /// rules want no more of each than one call in `ask_within`.
     fn turn_to_ask(&self) -> Micros {
-        (ASK_AGAIN * u64::from(self.s.gateways.max(1))).min(self.s.rules.ask_within)
+        (ASK_AGAIN * u64::from(self.s.gateways.max(1))).min(self.s.rules.ask_within.max(ASK_AGAIN))
     }
 
     fn ask(&mut self, now: Micros, act: &mut Vec<Action>) {
--- a/tests/many_gateways.rs
+++ b/tests/many_gateways.rs
@@ -220,3 +220,12 @@
     assert!(told >= 95, "{told} of {GATEWAYS} were told in 12 s; {failed} calls failed");
     assert!(failed <= 20, "{failed} calls failed");
 }
+
+// Where the settings tell no `ask_within`, a failed call was made again at once, and again.
+#[test]
+fn a_failed_call_for_the_list_is_not_made_again_at_once() {
+    let mut b = Bench::unlisted(Settings { list_is_asked: true, ..settings() }, 1);
+    b.list(ListKind::Failed, &[]);
+    assert!(!b.pass(40 * MS).contains(&Action::Watch));
+    assert!(b.pass(SECOND).contains(&Action::Watch));
+}
