Answer operators' calls on a listener of its own, and keep targets out while they work on them

Need: operators call for a healthcheck and leave targets out; nothing listened.

Design: `admin` (`LB_ADMIN` over it) names a listener with a thread, a runtime and descriptors of its own. It reads one call to a connection, within 2 s and 8 KiB, 16 at once; at that number the oldest that is not read whole goes. It holds no state: a call goes to the core on a mailbox of its own, so that it waits behind no request, and the yes is the core's, given once the module has been told. What operators say stands beside discovery's list (crates/maintenance), which keeps being taken up as it is told; the view of both is what the module and the routes see. A target called back counts as started when it was called back until discovery tells a start that came after it was called out: it is restarted meanwhile, and its back-off goes with the old start.

Not taken: the calls on the clients' listener, where a crowd's backlog stands before them; and writing the calls into the list itself, since the next full list would undo them. The list's own kind for changes was not used either: the module takes those as discovery's word that its watch stands.

--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -13,7 +13,7 @@
 use actix_http::{RequestHead, RequestHeadType, StatusCode};
 use bytes::{Bytes, BytesMut};
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
@@ -178,11 +178,13 @@
     open: Rc<Cell<usize>>,
     /// With the time of the last answer; the oldest first.
     kept: Rc<RefCell<VecDeque<(Instant, Link)>>>,
+    /// Targets whose connections end once they carry nothing.
+    resting: Rc<RefCell<HashSet<SocketAddr>>>,
 }
 
 impl Links {
     pub fn new(most: usize, idle: Duration, stall: Duration, rest: Duration) -> Links {
-        Links { most, idle, stall, rest, open: Rc::default(), kept: Rc::default() }
+        Links { most, idle, stall, rest, open: Rc::default(), kept: Rc::default(), resting: Rc::default() }
     }
 
     /// Closes what stands idle for too long or was closed by its target, until the store is let go.
@@ -236,7 +238,7 @@
 
     /// Keeps a connection whose last answer ended where it should.
     pub fn keep(&self, link: Link) {
-        if link.whole {
+        if link.whole && !self.resting.borrow().contains(&link.addr) {
             self.kept.borrow_mut().push_back((Instant::now(), link));
         }
     }
@@ -245,4 +247,15 @@
     pub fn forget(&self, addr: SocketAddr) {
         self.kept.borrow_mut().retain(|(_, link)| link.addr != addr);
     }
+
+    /// From now on no connection to the target is kept, and idle ones close at once.
+    pub fn rest(&self, addr: SocketAddr) {
+        self.resting.borrow_mut().insert(addr);
+        self.forget(addr);
+    }
+
+    /// Connections to the target are kept again.
+    pub fn wake(&self, addr: SocketAddr) {
+        self.resting.borrow_mut().remove(&addr);
+    }
 }
--- a/src/config.rs
+++ b/src/config.rs
@@ -24,6 +24,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: Option<SocketAddr>,
+    /// Where operators call; absent: nowhere.
+    pub admin: Option<SocketAddr>,
     pub seed: u64,
     pub known: Option<Page>,
     pub settings: Settings,
@@ -152,6 +154,7 @@
     name: Option<String>,
     listen: Option<String>,
     discovery: Option<String>,
+    admin: Option<String>,
     seed: Option<String>,
     known: Option<Page>,
     settings: Settings,
@@ -189,6 +192,11 @@
         Ok(self)
     }
 
+    /// These limits without what another part of the program takes out of them first.
+    pub fn less(self, sockets: usize) -> Limits {
+        Limits { sockets: self.sockets.saturating_sub(sockets).max(FEWEST_SOCKETS), ..self }
+    }
+
     /// Connections that targets may have. Busy ones are few: the module bounds the units out at each.
     pub fn target_sockets(&self) -> usize {
         (self.sockets - OWN_SOCKETS) * 3 / 8
@@ -240,6 +248,7 @@
             name: pick("LB_NAME", "name", file.name).map_or("rowanglade".to_string(), |(_, name)| name),
             listen: address(listen)?,
             discovery: pick("LB_DISCOVERY", "discovery", file.discovery).map(address).transpose()?,
+            admin: pick("LB_ADMIN", "admin", file.admin).map(address).transpose()?,
             seed: u64::from_str_radix(seed, 16)
                 .map_err(|e| ConfigError::new("seed", format!("{seed:?}: {e}")))?,
             known: file.known,
@@ -297,6 +306,10 @@
         let discovery = self.discovery.map_or("none".to_string(), |a| a.to_string());
         writeln!(f, "name {}  listen {}  discovery {discovery}", self.name, self.listen)?;
         write!(f, "classes {}  plans {}", classes.join(" "), plans.join(" "))?;
+        match self.admin {
+            None => write!(f, "\noperators' calls: off")?,
+            Some(admin) => write!(f, "\noperators' calls: {admin}")?,
+        }
         match &self.iscsi {
             None => write!(f, "\niSCSI-style front: off")?,
             Some(i) => {
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -4,7 +4,7 @@
 use crate::core::clock::{Clock, micros};
 use crate::core::fleet::{Fleet, milli};
 use crate::core::mailbox::{Ids, Inbox};
-use crate::core::message::{Answer, ListMessage, Listed, Message, Order, Reply, Wire};
+use crate::core::message::{Answer, Call, ListMessage, Listed, Message, Operation, Order, Reply, Wire};
 use crate::core::routes::{Loaded, Routes};
 use crate::interface::{
     Action, Attempt as Number, Entry, Event, KeyId, ListKind, Load, Micros, NodeId, NodeState, Outcome,
@@ -14,6 +14,7 @@
 use crate::rules::Gateway;
 use rowanglade_fleet_state::exchange::Milli;
 use rowanglade_fleet_state::{Exchange, Message as PeerMessage, Peer, Store};
+use rowanglade_maintenance::{Maintenance, State};
 use rowanglade_routing::BoxInfo;
 use std::cell::Cell;
 use std::cmp::Reverse;
@@ -48,6 +49,9 @@
 }
 
 struct Target {
+    /// As its list has it.
+    told: Listed,
+    /// As it holds, with operators' calls.
     line: Listed,
     mailbox: mpsc::Sender<TargetMessage>,
 }
@@ -58,6 +62,8 @@
     pub table: watch::Receiver<Arc<Loaded>>,
     /// Absent where instances do not talk to each other.
     pub fleet: Option<Fleet>,
+    /// Operators' calls. They do not wait behind the requests in the core's mailbox.
+    pub operations: mpsc::Receiver<Operation>,
 }
 
 /// The actor; [`Core::run`] is its life.
@@ -87,6 +93,8 @@
     boxes: watch::Sender<Arc<Vec<BoxInfo>>>,
     /// Absent where no peer may be talked to.
     fleet: Option<Fleet>,
+    operations: mpsc::Receiver<Operation>,
+    maintenance: Maintenance,
     /// What the module said last that it can do without.
     spared: f64,
 }
@@ -122,7 +130,7 @@
         connect: Connect,
         beside: Beside,
     ) -> Core {
-        let Beside { mut table, fleet } = beside;
+        let Beside { mut table, fleet, operations } = beside;
         let Inbox { rx, tx, ready, open, ids, boxes } = inbox;
         let routes = Routes::new(Arc::clone(&table.borrow_and_update()));
         Core {
@@ -146,6 +154,8 @@
             table,
             boxes,
             fleet,
+            operations,
+            maintenance: Maintenance::default(),
             spared: 0.0,
         }
     }
@@ -167,6 +177,7 @@
                 }
             };
             tokio::select! {
+                Some(operation) = self.operations.recv() => self.operate(operation),
                 message = self.rx.recv() => match message {
                     Some(message) => self.take(message),
                     None => return,
@@ -318,26 +329,28 @@
     /// The news of one source. Another source's targets are not in its list, and stay.
     fn list(&mut self, wire: Wire, kind: ListKind, mut entries: Vec<Listed>) {
         if matches!(kind, ListKind::Full | ListKind::Remembered) {
-            entries.extend(self.targets.values().filter(|t| t.line.wire != wire).map(|t| t.line.clone()));
-            for target in self.targets.values_mut().filter(|t| t.line.wire == wire) {
-                target.line.state = NodeState::Gone;
+            entries.extend(self.targets.values().filter(|t| t.told.wire != wire).map(|t| t.told.clone()));
+            for target in self.targets.values_mut().filter(|t| t.told.wire == wire) {
+                (target.told.state, target.line.state) = (NodeState::Gone, NodeState::Gone);
             }
         }
         let mut lines = Vec::with_capacity(entries.len());
-        for line in entries {
-            let node = self.names.listed(&line.name);
-            lines.push(Entry {
-                node,
-                shard: ShardId(line.shard),
-                zone: self.names.zone(&line.zone),
-                state: line.state,
-                started: line.started,
-            });
+        for told in entries {
+            let node = self.names.listed(&told.name);
+            self.maintenance.told(&told.name, state(told.state), told.started);
+            let line = self.view(&told);
+            lines.push(self.entry(node, &line));
             match self.targets.get_mut(&node) {
-                Some(target) if target.line.addr == line.addr => target.line = line,
+                Some(target) if target.told.addr == told.addr => {
+                    (target.told, target.line) = (told, line);
+                }
                 _ => {
                     let mailbox = (self.connect)(&line);
-                    self.targets.insert(node, Target { line, mailbox });
+                    if self.maintenance.is_out(&told.name) {
+                        // A new mailbox has room.
+                        let _ = mailbox.try_send(TargetMessage::Rest(true));
+                    }
+                    self.targets.insert(node, Target { told, line, mailbox });
                 }
             }
         }
@@ -357,6 +370,75 @@
         }
     }
 
+    /// A line of the list as it holds with operators' calls.
+    fn view(&self, told: &Listed) -> Listed {
+        let (held, started) = self.maintenance.view(&told.name, state(told.state), told.started);
+        let held = match held {
+            State::Up => NodeState::In,
+            State::Draining => NodeState::Draining,
+            State::Gone => NodeState::Gone,
+        };
+        Listed { state: held, started, ..told.clone() }
+    }
+
+    fn entry(&self, node: NodeId, line: &Listed) -> Entry {
+        Entry {
+            node,
+            shard: ShardId(line.shard),
+            zone: self.names.zone(&line.zone),
+            state: line.state,
+            started: line.started,
+        }
+    }
+
+    fn operate(&mut self, operation: Operation) {
+        let held = self.call(&operation.call);
+        // A caller that has left meanwhile needs no answer; what it asked for holds.
+        let _ = operation.done.send(held);
+    }
+
+    /// Does what an operator's call asks. False: nobody has such a target.
+    fn call(&mut self, call: &Call) -> bool {
+        let (Call::Maint(name) | Call::Ready(name)) = call;
+        let node = self.names.node(name);
+        let listed = node.filter(|node| self.targets.contains_key(node));
+        let used = node.is_some_and(|node| {
+            self.requests.values().flat_map(|o| o.attempts.iter().flatten()).any(|out| out.node == node)
+        });
+        if listed.is_none() && !used && !self.maintenance.is_out(name) {
+            return false;
+        }
+        let (now, out) = (self.clock.now(), matches!(call, Call::Maint(_)));
+        let changed = match out {
+            true => self.maintenance.call_out(now, name),
+            false => self.maintenance.call_back(now, name),
+        };
+        tracing::info!(target = name, out, changed, "an operator's call");
+        if let (true, Some(node)) = (changed, listed) {
+            self.hold(node, out);
+        }
+        true
+    }
+
+    /// Puts in force what operators' calls have changed of a listed target.
+    fn hold(&mut self, node: NodeId, out: bool) {
+        let Some(target) = self.targets.get(&node) else { return };
+        let line = self.view(&target.told);
+        let entry = self.entry(node, &line);
+        if let Some(target) = self.targets.get_mut(&node) {
+            target.line = line;
+            if target.mailbox.try_send(TargetMessage::Rest(out)).is_err() {
+                tracing::warn!(
+                    target = target.told.name,
+                    "its connections are not told that it rests or is back"
+                );
+            }
+        }
+        self.routes.listed(self.targets.iter().map(|(node, t)| (*node, &t.line)));
+        self.tell_reach();
+        self.feed(Event::List { kind: ListKind::Beside, entries: vec![entry] });
+    }
+
     /// Tells the module whom routes let requests reach, where that has changed.
     fn tell_reach(&mut self) {
         let news = self.routes.news();
@@ -500,6 +582,14 @@
     }
 }
 
+fn state(told: NodeState) -> State {
+    match told {
+        NodeState::In => State::Up,
+        NodeState::Draining => State::Draining,
+        NodeState::Gone => State::Gone,
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -528,6 +618,7 @@
                 let (inbox, handle) = mailbox(&settings, None);
                 let (list, _calls) = mpsc::channel(4);
                 let (_routes, table) = watch::channel(Arc::default());
+                let (_operators, operations) = mpsc::channel(1);
                 let core = Core::new(
                     gateway,
                     names,
@@ -535,7 +626,7 @@
                     inbox,
                     list,
                     connect(),
-                    Beside { table, fleet: None },
+                    Beside { table, fleet: None, operations },
                 );
                 tokio::select! {
                     () = core.run() => panic!("the core ended"),
--- a/src/core/attempt.rs
+++ b/src/core/attempt.rs
@@ -31,6 +31,8 @@
 pub enum TargetMessage {
     Attempt(Attempt),
     Probe(Probe),
+    /// From now on it is left out, or is not any more. Left out, its connections end once they carry nothing.
+    Rest(bool),
 }
 
 /// Makes the actor of a target, which lives as long as its mailbox is held.
--- a/src/core/message.rs
+++ b/src/core/message.rs
@@ -97,6 +97,22 @@
     pub started: Option<Micros>,
 }
 
+/// What operators ask of one target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// It is to be left out.
+    Maint(String),
+    /// It may serve again.
+    Ready(String),
+}
+
+/// An operator's call. Its answer comes once what it asks for holds; false: nobody has such a target.
+#[derive(Debug)]
+pub struct Operation {
+    pub call: Call,
+    pub done: oneshot::Sender<bool>,
+}
+
 /// What the list's actor is asked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListMessage {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -295,6 +295,8 @@
     Full,
     /// All of it as this gateway last had it; it may be stale.
     Remembered,
+    /// Only what changed, as others than discovery tell it.
+    Beside,
     /// A call for it failed, or the watch on it broke.
     Failed,
 }
--- /dev/null
+++ b/src/net/admin/call.rs
@@ -0,0 +1,81 @@
+//! What a call asks: the one place where its words are read.
+
+use crate::core::Call;
+use actix_http::header::{ALLOW, HeaderValue};
+use actix_http::{Method, Response, StatusCode};
+
+/// What a call is about.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Asked {
+    Healthcheck,
+    Operation(Call),
+}
+
+/// Why a call is answered no before anybody is asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum No {
+    /// Nothing goes by this path.
+    Path,
+    /// What goes by this path is asked with this method.
+    Method(&'static str),
+    /// The id is no text.
+    Id,
+}
+
+impl No {
+    pub fn response(self) -> Response<()> {
+        let code = match self {
+            No::Path => StatusCode::NOT_FOUND,
+            No::Method(_) => StatusCode::METHOD_NOT_ALLOWED,
+            No::Id => StatusCode::BAD_REQUEST,
+        };
+        let mut response = Response::with_body(code, ());
+        if let No::Method(allowed) = self {
+            response.headers_mut().insert(ALLOW, HeaderValue::from_static(allowed));
+        }
+        response
+    }
+}
+
+/// Reads a call's method and path. Ids are percent-decoded once.
+pub fn read(method: &Method, path: &str) -> Result<Asked, No> {
+    let only =
+        |allowed: &Method, name, asked| if method == allowed { Ok(asked) } else { Err(No::Method(name)) };
+    let parts: Vec<&str> = path.split('/').skip(1).collect();
+    match parts[..] {
+        ["healthcheck"] => only(&Method::GET, "GET", Asked::Healthcheck),
+        ["targets", id, what @ ("maint" | "ready")] if !id.is_empty() => {
+            let id = percent_encoding::percent_decode_str(id).decode_utf8().map_err(|_| No::Id)?.into_owned();
+            let call = if what == "maint" { Call::Maint(id) } else { Call::Ready(id) };
+            only(&Method::PUT, "PUT", Asked::Operation(call))
+        }
+        _ => Err(No::Path),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn calls_are_read_and_others_are_told_why_not() {
+        let maint = |id: &str| Ok(Asked::Operation(Call::Maint(id.into())));
+        let cases = [
+            (Method::GET, "/healthcheck", Ok(Asked::Healthcheck)),
+            (Method::HEAD, "/healthcheck", Err(No::Method("GET"))),
+            (Method::PUT, "/targets/s-1/maint", maint("s-1")),
+            (Method::PUT, "/targets/s-1/ready", Ok(Asked::Operation(Call::Ready("s-1".into())))),
+            // Once: what is decoded is not read again.
+            (Method::PUT, "/targets/a%2Fb%2525/maint", maint("a/b%25")),
+            (Method::PUT, "/targets/%ff/maint", Err(No::Id)),
+            (Method::POST, "/targets/s-1/maint", Err(No::Method("PUT"))),
+            (Method::PUT, "/targets//maint", Err(No::Path)),
+            (Method::PUT, "/targets/s-1/maint/", Err(No::Path)),
+            (Method::PUT, "/targets/s-1/drain", Err(No::Path)),
+            (Method::GET, "/", Err(No::Path)),
+        ];
+        for (method, path, asked) in cases {
+            assert_eq!(read(&method, path), asked, "{method} {path}");
+        }
+    }
+}
--- a/src/net/http/target.rs
+++ b/src/net/http/target.rs
@@ -33,8 +33,11 @@
                 TargetMessage::Probe(probe) => {
                     actix_rt::spawn(check(pool.clone(), addr, probe));
                 }
+                TargetMessage::Rest(true) => pool.links.rest(addr),
+                TargetMessage::Rest(false) => pool.links.wake(addr),
             }
         }
+        pool.links.wake(addr);
         pool.links.forget(addr);
     });
     tx
--- a/src/net/iscsi/session.rs
+++ b/src/net/iscsi/session.rs
@@ -65,6 +65,8 @@
             while waiting.is_empty() {
                 tokio::select! {
                     message = self.rx.recv() => match message {
+                        // Without a session there is none to end.
+                        Some(TargetMessage::Rest(_)) => {}
                         // Sent just before the drain was told: nothing new goes to it.
                         Some(message) if drained => tell_unsent(message, Outcome::Unreachable),
                         Some(message) => waiting.push_back(message),
@@ -123,6 +125,7 @@
             heard: Instant::now(),
             pinged: false,
             leaving: false,
+            resting: false,
         })
     }
 
@@ -141,6 +144,7 @@
     match message {
         TargetMessage::Attempt(attempt) => attempt.report.tell(Reply::bare(outcome)),
         TargetMessage::Probe(probe) => probe.report.tell(outcome, Load::default()),
+        TargetMessage::Rest(_) => {}
     }
 }
 
@@ -180,6 +184,8 @@
     heard: Instant,
     pinged: bool,
     leaving: bool,
+    /// Operators leave the target out: the session ends once it carries nothing.
+    resting: bool,
 }
 
 impl Session {
@@ -202,7 +208,7 @@
             self.take(message).await?;
         }
         loop {
-            if self.leaving && self.tasks.is_empty() {
+            if (self.leaving || self.resting) && self.tasks.is_empty() {
                 self.log_out().await?;
                 return Ok(End::Left);
             }
@@ -274,6 +280,10 @@
                 Ok(())
             }
             TargetMessage::Attempt(attempt) => self.command(attempt).await,
+            TargetMessage::Rest(resting) => {
+                self.resting = resting;
+                Ok(())
+            }
         }
     }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -5,7 +5,7 @@
     self, AccessLog, Beside, Clock, Connect, Core, Fleet, Handle, Listed, Loaded, Message, Wire,
 };
 use crate::interface::{ListKind, NodeState};
-use crate::net::{fleet, http, iscsi};
+use crate::net::{admin, fleet, http, iscsi};
 use crate::settings::Settings;
 use rowanglade_routing::check::Decision;
 use rowanglade_routing::{BoxInfo, Table};
@@ -42,6 +42,9 @@
 /// How long a connection to a target rests after an answer: what a target sends behind one shows by then.
 const REST: Duration = Duration::from_millis(10);
 
+/// Operators' calls that may wait for the core.
+const OPERATIONS: usize = admin::MOST_CALLS;
+
 /// Datagrams to peers that may wait; what finds no room is lost, as it could be on its way.
 const PEER_MAILBOX: usize = 256;
 
@@ -216,6 +219,10 @@
     reloads: Reloads,
     http: TcpListener,
     iscsi: Option<(TcpListener, Iscsi)>,
+    /// Absent where operators call nowhere.
+    admin: Option<admin::Admin>,
+    /// Whether this process takes clients, as operators are told.
+    serving: watch::Sender<bool>,
     limits: Limits,
     classes: Vec<(String, Duration)>,
     /// How long finishing may take once the end is told.
@@ -228,6 +235,8 @@
         let clock = Clock::start();
         let (gateway, names) = config.decide().map_err(Error::Config)?;
         let http = TcpListener::bind(config.listen).await?;
+        let admin = config.admin.map(bind_admin).transpose()?;
+        let limits = config.limits.less(if admin.is_some() { admin::OWN_SOCKETS } else { 0 });
         let iscsi = match config.iscsi {
             Some(iscsi) => Some((TcpListener::bind(iscsi.listen).await?, iscsi)),
             None => None,
@@ -235,12 +244,12 @@
         let (ask, asked) = mpsc::channel(4);
         let (idle, stall) = (config.settings.conn_idle() / 2, config.settings.tightest_aim() / 2);
         let stall = stall.clamp(SHORTEST_STALL, LONGEST_STALL);
-        let links = http::Links::new(config.limits.target_sockets(), idle, stall, REST);
+        let links = http::Links::new(limits.target_sockets(), idle, stall, REST);
         actix_rt::spawn(links.clone().sweep());
         let connect_timeout = config.settings.connect_timeout();
         let pool = http::Pool { connect_timeout, links };
         let access_log = config.access_log.as_ref().map(|c| AccessLog::open(&c.path, c.queue)).transpose()?;
-        let (limits, (inbox, core)) = (config.limits, core::mailbox(&config.settings, access_log.clone()));
+        let (inbox, core) = core::mailbox(&config.settings, access_log.clone());
         let figures = iscsi.as_ref().map(|(_, iscsi)| figures(iscsi, &config.settings));
         let connect = connect(pool, figures, core.clone());
         let routing = config.routing;
@@ -261,7 +270,16 @@
                 Some(Fleet::new(incarnation(), out))
             }
         };
-        let beside = Beside { table: in_force, fleet };
+        let (operator, operations) = mpsc::channel(OPERATIONS);
+        let serving = watch::Sender::new(false);
+        let admin = match admin {
+            None => None,
+            Some(listener) => {
+                let (ready, serving) = (core.readiness(), serving.subscribe());
+                Some(admin::open(listener, admin::Service { operations: operator, ready, serving })?)
+            }
+        };
+        let beside = Beside { table: in_force, fleet, operations };
         actix_rt::spawn(Core::new(gateway, names, clock, inbox, ask, connect, beside).run());
         let version = config.known.as_ref().map(http::Page::version);
         // The module asks for the list once it hears of anything: of a list that it never had, too.
@@ -280,7 +298,7 @@
         // Without an older table to keep, one that waits for a box is in force from the start.
         let undecided = open.then(|| Rc::new(routing));
         let reloads = Reloads { discovery, access_log, table, undecided };
-        Ok(Node { core, reloads, http, iscsi, limits, classes, patience })
+        Ok(Node { core, reloads, http, iscsi, admin, serving, limits, classes, patience })
     }
 
     /// Where a new configuration is taken while it runs.
@@ -293,6 +311,11 @@
         self.http.local_addr()
     }
 
+    /// Where operators call, if anywhere.
+    pub fn admin_addr(&self) -> Option<SocketAddr> {
+        self.admin.as_ref().map(admin::Admin::addr)
+    }
+
     /// Where sessions connect, if that front is on.
     pub fn iscsi_addr(&self) -> Option<std::io::Result<SocketAddr>> {
         self.iscsi.as_ref().map(|(listener, _)| listener.local_addr())
@@ -326,6 +349,7 @@
             body_bytes: Rc::new(Cell::new(self.limits.body_bytes())),
         };
         let mut front = Box::pin(http::serve(self.http, front));
+        self.serving.send_replace(true);
         tokio::select! {
             end = &mut front => return end,
             () = told => {}
@@ -334,6 +358,7 @@
         let told = Instant::now();
         let (serve_until, end) = (told + self.patience - LAST_ANSWERS, told + self.patience);
         tracing::info!(open = self.core.open(), "ending");
+        self.serving.send_replace(false);
         ending.send_replace(true);
         clients.keep();
         let held = || clients.open() > 0 || self.core.open() > 0;
@@ -362,6 +387,11 @@
     }
 }
 
+fn bind_admin(addr: SocketAddr) -> Result<std::net::TcpListener, Error> {
+    std::net::TcpListener::bind(addr)
+        .map_err(|e| Error::Config(ConfigError::new("admin", format!("{addr}: {e}"))))
+}
+
 /// A number that no other life of an instance has: of the system's randomness, which seeds hash maps.
 fn incarnation() -> u64 {
     use std::hash::{BuildHasher, Hasher, RandomState};
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -958,11 +958,11 @@
             self.ask_wait = (wait * 2).min((self.s.rules.ask_within / 4).max(turn));
             return;
         }
-        if kind != ListKind::Remembered {
+        if matches!(kind, ListKind::Full | ListKind::Changes) {
             self.watching |= self.asked;
             (self.asked, self.ask_wait) = (false, 0);
         }
-        if kind != ListKind::Changes {
+        if matches!(kind, ListKind::Full | ListKind::Remembered) {
             let listed = |id: &NodeId| entries.iter().any(|e| e.node == *id);
             self.nodes.iter_mut().filter(|(id, _)| !listed(id)).for_each(|(_, n)| n.state = NodeState::Gone);
         }
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -29,6 +29,7 @@
     insta::assert_snapshot!(config, @r"
     name n1  listen 127.0.0.1:9  discovery none
     classes view deposit  plans basic full
+    operators' calls: off
     iSCSI-style front: iqn.2026-12.example.kingston:rowanglade on 127.0.0.1:3260, 1 LUNs, 1 targets
     access log: access.log
     routes: none
@@ -56,6 +57,8 @@
         (toml("queue = 4096", "queue = 0"), "access_log.queue"),
         (toml("\"access.log\"", "\"\""), "access_log.path"),
         (load(EXAMPLE, OPERATOR, &[("LB_DISCOVERY", "x")]).expect_err("x"), "LB_DISCOVERY"),
+        (load(EXAMPLE, OPERATOR, &[("LB_ADMIN", "7071")]).expect_err("x"), "LB_ADMIN"),
+        (json("\"seed\"", "\"admin\": \"here\", \"seed\""), "admin"),
     ] {
         assert!(error.contains(key), "{error:?} does not name {key}");
     }
--- a/tests/network/main.rs
+++ b/tests/network/main.rs
@@ -1,5 +1,6 @@
 //! The fronts and the targets over loopback sockets, against peers that misbehave on command.
 
+mod admin;
 mod fleet;
 mod http;
 mod iscsi;
--- a/tests/network/site.rs
+++ b/tests/network/site.rs
@@ -27,6 +27,16 @@
 
 /// Starts an initiator that remembers these targets; it ends when the sender is used or dropped.
 pub async fn start(lines: &[String], discovery: Option<SocketAddr>, iscsi: Option<&str>) -> Running {
+    start_with(lines, discovery, iscsi, |_| {}).await
+}
+
+/// The same, with a configuration that was changed.
+pub async fn start_with(
+    lines: &[String],
+    discovery: Option<SocketAddr>,
+    iscsi: Option<&str>,
+    change: impl FnOnce(&mut serde_json::Value),
+) -> Running {
     let known = format!(r#"{{"version":1,"full":true,"servers":[{}]}}"#, lines.join(","));
     let mut json: serde_json::Value = serde_json::from_str(EXAMPLE).expect("JSON");
     json["listen"] = "127.0.0.1:0".into();
@@ -36,6 +46,7 @@
     } else if let Some(fields) = json.as_object_mut() {
         fields.remove("known");
     }
+    change(&mut json);
     let dir = std::env::temp_dir().join(format!(
         "rowanglade-{}-{:?}",
         std::process::id(),
@@ -50,14 +61,16 @@
     std::fs::remove_dir_all(&dir).expect("removed");
     let node = Node::start(config).await.expect("it starts");
     let (http, iscsi) = (node.http_addr().expect("bound"), node.iscsi_addr().map(|a| a.expect("bound")));
+    let admin = node.admin_addr();
     let (reloads, (end, told)) = (node.reloads(), oneshot::channel());
     let run = actix_rt::spawn(node.run(async { drop(told.await) }));
-    Running { http, iscsi, reloads, end, run }
+    Running { http, iscsi, admin, reloads, end, run }
 }
 
 pub struct Running {
     pub http: SocketAddr,
     pub iscsi: Option<SocketAddr>,
+    pub admin: Option<SocketAddr>,
     pub reloads: Reloads,
     pub end: oneshot::Sender<()>,
     pub run: actix_rt::task::JoinHandle<std::io::Result<()>>,
