Replace the process under load: a successor takes over the listener and all that is owned

Design: ownership goes with a lock file in $TMPDIR that the system frees when its holder dies; a Unix socket beside it carries the conversation (crates/handover, a machine without I/O): hello, welcome with the listening sockets (SCM_RIGHTS) and the list, ready, given with maintenance, limit stores, cold budgets and what was learned, taken, yours. The predecessor owns everything until `taken`, and goes on with it when the link breaks; whoever gets the lock after a break is alone and starts from nothing that the other may have spent. The module hears that what it owns is another's (`Event::Handed`): it then sends nothing that needs units of a limit or a cold box's budget. The predecessor answers on its open connections, with `Connection: close`, and tells ten times a second how many descriptors it still has, which the successor does without. Both are on one clock.

Not taken: SO_REUSEPORT. Two listeners are two backlogs, and what stands in the predecessor's when it stops is reset; with it set, two unrelated processes on one address would also start without an error. Deciding by whether the link or the socket lives was left for the lock: a link may break between two that live.

--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -168,7 +168,7 @@
 #[derive(Clone, Debug)]
 pub struct Links {
     /// How many connections may be open.
-    most: usize,
+    most: Rc<Cell<usize>>,
     /// A connection idle this long is not used again; the target would close it soon.
     idle: Duration,
     /// An answer that has begun goes on within this time, or it will not be whole.
@@ -184,7 +184,15 @@
 
 impl Links {
     pub fn new(most: usize, idle: Duration, stall: Duration, rest: Duration) -> Links {
-        Links { most, idle, stall, rest, open: Rc::default(), kept: Rc::default(), resting: Rc::default() }
+        Links {
+            most: Rc::new(Cell::new(most)),
+            idle,
+            stall,
+            rest,
+            open: Rc::default(),
+            kept: Rc::default(),
+            resting: Rc::default(),
+        }
     }
 
     /// Closes what stands idle for too long or was closed by its target, until the store is let go.
@@ -216,7 +224,7 @@
                 _ => {}
             }
         }
-        if self.open.get() >= self.most {
+        if self.open.get() >= self.most.get() {
             // The connection idle for longest, whatever its target, makes room.
             let spare = self.kept.borrow_mut().pop_front();
             spare.ok_or_else(|| io::Error::other("every connection that there may be is in use"))?;
@@ -248,6 +256,21 @@
         self.kept.borrow_mut().retain(|(_, link)| link.addr != addr);
     }
 
+    /// Connections that are open.
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    /// From now on so many may be open. Idle ones beyond that close at once, the oldest first.
+    pub fn resize(&self, most: usize) {
+        self.most.set(most);
+        while self.open.get() > most && self.kept.borrow_mut().pop_front().is_some() {}
+    }
+
+    pub fn close_idle(&self) {
+        self.kept.borrow_mut().clear();
+    }
+
     /// From now on no connection to the target is kept, and idle ones close at once.
     pub fn rest(&self, addr: SocketAddr) {
         self.resting.borrow_mut().insert(addr);
--- a/crates/warmup/src/lib.rs
+++ b/crates/warmup/src/lib.rs
@@ -21,6 +21,7 @@
 
 #![forbid(unsafe_code)]
 
+use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 
 /// A time or a span, in microseconds.
@@ -70,7 +71,7 @@
 }
 
 /// A cold node, as one gateway sees it.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Node {
     started: Micros,
     /// When this gateway heard of its start.
@@ -114,7 +115,7 @@
 }
 
 /// A gateway's share of a volume's reserve, paced over all nodes of the volume that are cold.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Pace {
     /// From when the next units may go.
     next: Option<Micros>,
--- a/src/config.rs
+++ b/src/config.rs
@@ -26,6 +26,8 @@
     pub discovery: Option<SocketAddr>,
     /// Where operators call; absent: nowhere.
     pub admin: Option<SocketAddr>,
+    /// Where this process and one that replaces it meet; absent: none can.
+    pub meeting: Option<PathBuf>,
     pub seed: u64,
     pub known: Option<Page>,
     pub settings: Settings,
@@ -171,7 +173,7 @@
 }
 
 /// Descriptors that are neither a client's nor a target's: listeners, the log, discovery, the runtime's own.
-const OWN_SOCKETS: usize = 24;
+pub const OWN_SOCKETS: usize = 24;
 const FEWEST_SOCKETS: usize = 64;
 const LEAST_MEMORY_MB: usize = 16;
 
@@ -249,6 +251,7 @@
             listen: address(listen)?,
             discovery: pick("LB_DISCOVERY", "discovery", file.discovery).map(address).transpose()?,
             admin: pick("LB_ADMIN", "admin", file.admin).map(address).transpose()?,
+            meeting: env("TMPDIR").map(PathBuf::from),
             seed: u64::from_str_radix(seed, 16)
                 .map_err(|e| ConfigError::new("seed", format!("{seed:?}: {e}")))?,
             known: file.known,
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -4,7 +4,9 @@
 use crate::core::clock::{Clock, micros};
 use crate::core::fleet::{Fleet, milli};
 use crate::core::mailbox::{Ids, Inbox};
-use crate::core::message::{Answer, Call, ListMessage, Listed, Message, Operation, Order, Reply, Wire};
+use crate::core::message::{
+    Answer, Call, ListMessage, Listed, Message, Operation, Order, Reply, Upgrade, Wire,
+};
 use crate::core::routes::{Loaded, Routes};
 use crate::interface::{
     Action, Attempt as Number, Entry, Event, KeyId, ListKind, Load, Micros, NodeId, NodeState, Outcome,
@@ -12,6 +14,7 @@
 };
 use crate::names::Names;
 use crate::rules::Gateway;
+use crate::upgrade::Given;
 use rowanglade_fleet_state::exchange::Milli;
 use rowanglade_fleet_state::{Exchange, Message as PeerMessage, Peer, Store};
 use rowanglade_maintenance::{Maintenance, State};
@@ -64,6 +67,10 @@
     pub fleet: Option<Fleet>,
     /// Operators' calls. They do not wait behind the requests in the core's mailbox.
     pub operations: mpsc::Receiver<Operation>,
+    /// What replacing the process asks.
+    pub upgrades: mpsc::Receiver<Upgrade>,
+    /// Calls that hold here are told to the other process, if there is one.
+    pub calls: mpsc::Sender<Call>,
 }
 
 /// The actor; [`Core::run`] is its life.
@@ -94,7 +101,11 @@
     /// Absent where no peer may be talked to.
     fleet: Option<Fleet>,
     operations: mpsc::Receiver<Operation>,
+    upgrades: mpsc::Receiver<Upgrade>,
+    calls: mpsc::Sender<Call>,
     maintenance: Maintenance,
+    /// Another process has what is owned here.
+    handed: bool,
     /// What the module said last that it can do without.
     spared: f64,
 }
@@ -130,7 +141,7 @@
         connect: Connect,
         beside: Beside,
     ) -> Core {
-        let Beside { mut table, fleet, operations } = beside;
+        let Beside { mut table, fleet, operations, upgrades, calls } = beside;
         let Inbox { rx, tx, ready, open, ids, boxes } = inbox;
         let routes = Routes::new(Arc::clone(&table.borrow_and_update()));
         Core {
@@ -155,7 +166,10 @@
             boxes,
             fleet,
             operations,
+            upgrades,
+            calls,
             maintenance: Maintenance::default(),
+            handed: false,
             spared: 0.0,
         }
     }
@@ -167,7 +181,7 @@
             let timer = self.timers.peek().map(|Reverse((at, _))| *at);
             let backstop = self.backstops.first().map(|(at, _)| *at);
             let trust_at = (!self.trusting).then_some(trust);
-            let ask = self.fleet.as_ref().and_then(|f| f.exchange.wake());
+            let ask = self.fleet.as_ref().filter(|_| !self.handed).and_then(|f| f.exchange.wake());
             let until = [timer, backstop, trust_at, ask].into_iter().flatten().min();
             let clock = self.clock;
             let pause = async {
@@ -178,6 +192,7 @@
             };
             tokio::select! {
                 Some(operation) = self.operations.recv() => self.operate(operation),
+                Some(upgrade) = self.upgrades.recv() => self.upgrade(upgrade),
                 message = self.rx.recv() => match message {
                     Some(message) => self.take(message),
                     None => return,
@@ -236,7 +251,8 @@
     /// A peer's datagram; the answer goes back to it.
     fn peer(&mut self, from: Peer, message: &PeerMessage) {
         let now = self.clock.now();
-        let Some(mut fleet) = self.fleet.take() else { return };
+        // What others are given must be this process's to give.
+        let Some(mut fleet) = self.fleet.take_if(|_| !self.handed) else { return };
         let mut exchange = std::mem::replace(&mut fleet.exchange, Exchange::new(0));
         let id = |volume| fleet.id(volume);
         let answer = exchange.heard(now, from, message, &mut Stores { core: self, id: &id });
@@ -393,6 +409,10 @@
 
     fn operate(&mut self, operation: Operation) {
         let held = self.call(&operation.call);
+        if held {
+            // Without another process nobody takes it.
+            let _ = self.calls.try_send(operation.call);
+        }
         // A caller that has left meanwhile needs no answer; what it asked for holds.
         let _ = operation.done.send(held);
     }
@@ -420,6 +440,60 @@
         true
     }
 
+    /// Does what replacing the process asks. Whoever asks and has ended needs no answer.
+    fn upgrade(&mut self, upgrade: Upgrade) {
+        match upgrade {
+            Upgrade::Describe(answer) => {
+                let list = self.targets.values().map(|t| t.told.clone()).filter(|t| t.wire == Wire::Http);
+                let _ = answer.send((self.clock.now(), list.collect()));
+            }
+            Upgrade::Freeze(answer) => {
+                let module = self.gateway.handed().named(
+                    |node| self.names.node_name(node).map(str::to_string),
+                    |volume| self.names.volume_name(volume).map(str::to_string),
+                );
+                let given = Given { maintenance: self.maintenance.clone(), module };
+                let _ = answer.send(Box::new(given));
+                self.hand(true);
+            }
+            Upgrade::Resume(answer) => {
+                self.hand(false);
+                let _ = answer.send(());
+            }
+            Upgrade::Restart(answer) => {
+                self.gateway.forget_owned(self.clock.now());
+                self.hand(false);
+                let _ = answer.send(());
+            }
+            Upgrade::Take(given, answer) => {
+                let Given { maintenance, module } = *given;
+                self.maintenance = maintenance;
+                // What they change of the list is told before what was learned, which is void for another start.
+                let nodes: Vec<NodeId> = self.targets.keys().copied().collect();
+                for node in nodes {
+                    let out = self.targets.get(&node).is_some_and(|t| self.maintenance.is_out(&t.told.name));
+                    self.hold(node, out);
+                }
+                let names = &mut self.names;
+                let nodes: HashMap<String, NodeId> =
+                    self.targets.iter().map(|(id, t)| (t.told.name.clone(), *id)).collect();
+                let module =
+                    module.named(|node| nodes.get(&node).copied(), |volume| Some(names.volume(&volume)));
+                self.gateway.take(module);
+                let _ = answer.send(());
+            }
+            Upgrade::Call(call) => {
+                self.call(&call);
+            }
+        }
+    }
+
+    /// What is owned is another process's from now on, or this one's again.
+    fn hand(&mut self, handed: bool) {
+        self.handed = handed;
+        self.feed(Event::Handed(handed));
+    }
+
     /// Puts in force what operators' calls have changed of a listed target.
     fn hold(&mut self, node: NodeId, out: bool) {
         let Some(target) = self.targets.get(&node) else { return };
@@ -450,7 +524,7 @@
     /// Timers and backstops that are due.
     fn due(&mut self) {
         let now = self.clock.now();
-        if let Some(fleet) = &mut self.fleet
+        if let Some(fleet) = self.fleet.as_mut().filter(|_| !self.handed)
             && let Some(want) = fleet.exchange.poll(now)
         {
             fleet.send((None, want));
@@ -504,7 +578,7 @@
             Action::Watch => self.ask(ListMessage::Watch),
             Action::FetchList => self.ask(ListMessage::Fetch),
             Action::Lacks { volume, units, gateways } => {
-                if let Some(fleet) = &mut self.fleet {
+                if let Some(fleet) = self.fleet.as_mut().filter(|_| !self.handed) {
                     fleet.lacks(now, volume, units, gateways);
                 }
             }
@@ -619,6 +693,8 @@
                 let (list, _calls) = mpsc::channel(4);
                 let (_routes, table) = watch::channel(Arc::default());
                 let (_operators, operations) = mpsc::channel(1);
+                let (_keeper, upgrades) = mpsc::channel(1);
+                let (calls, _calls) = mpsc::channel(1);
                 let core = Core::new(
                     gateway,
                     names,
@@ -626,7 +702,7 @@
                     inbox,
                     list,
                     connect(),
-                    Beside { table, fleet: None, operations },
+                    Beside { table, fleet: None, operations, upgrades, calls },
                 );
                 tokio::select! {
                     () = core.run() => panic!("the core ended"),
--- a/src/core/clock.rs
+++ b/src/core/clock.rs
@@ -18,6 +18,11 @@
         Clock { start: Instant::now(), base: micros(unix) }
     }
 
+    /// A clock that tells this time now: another process's.
+    pub fn at_present(now: Micros) -> Clock {
+        Clock { start: Instant::now(), base: now }
+    }
+
     pub fn now(&self) -> Micros {
         self.at(Instant::now())
     }
--- a/src/core/message.rs
+++ b/src/core/message.rs
@@ -1,8 +1,10 @@
 //! What passes between the core and its neighbours, in no wire's words.
 
 use crate::interface::{Attempt as Number, Load, Micros, NodeId, NodeState, Outcome, RequestId};
+use crate::upgrade::Given;
 use bytes::Bytes;
 use rowanglade_fleet_state::Peer;
+use serde::{Deserialize, Serialize};
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -98,7 +100,8 @@
 }
 
 /// What operators ask of one target.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
 pub enum Call {
     /// It is to be left out.
     Maint(String),
@@ -113,6 +116,23 @@
     pub done: oneshot::Sender<bool>,
 }
 
+/// What replacing the process asks of the core.
+#[derive(Debug)]
+pub enum Upgrade {
+    /// The time, and the list as discovery told it.
+    Describe(oneshot::Sender<(Micros, Vec<Listed>)>),
+    /// To spend nothing that is owned from now on, and to tell all of it.
+    Freeze(oneshot::Sender<Box<Given>>),
+    /// To spend it again.
+    Resume(oneshot::Sender<()>),
+    /// To go on from nothing: another had what is owned.
+    Restart(oneshot::Sender<()>),
+    /// To go on with what another process owned.
+    Take(Box<Given>, oneshot::Sender<()>),
+    /// An operator's call came to the other process.
+    Call(Call),
+}
+
 /// What the list's actor is asked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListMessage {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -374,6 +374,9 @@
         took: Micros,
         load: Load,
     },
+    /// Another process has what is owned here: units of limits, and the budgets of cold nodes. False: it is owned
+    /// here again.
+    Handed(bool),
     /// A timer of [`Action::Wake`] is due.
     Wake {
         token: u64,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -81,3 +81,4 @@
 pub mod node;
 pub mod rules;
 pub mod settings;
+pub mod upgrade;
--- a/src/names.rs
+++ b/src/names.rs
@@ -31,6 +31,15 @@
     }
 }
 
+impl Interner {
+    fn name(&self, number: u64) -> Option<&str> {
+        // Numbers are handed out in turn, and the oldest names are forgotten first.
+        let first = self.next - self.order.len() as u64 + 1;
+        let at = usize::try_from(number.checked_sub(first)?).ok()?;
+        self.order.get(at).map(String::as_str)
+    }
+}
+
 struct Open {
     name: String,
     out: u32,
@@ -73,6 +82,11 @@
         VolumeId(self.volumes.number(name) as u32)
     }
 
+    /// Looks through all names: for what is rare.
+    pub fn volume_name(&self, id: VolumeId) -> Option<&str> {
+        self.volumes.name(u64::from(id.0))
+    }
+
     pub fn key(&mut self, name: &str) -> KeyId {
         KeyId(self.keys.number(name))
     }
--- a/src/net/admin/server.rs
+++ b/src/net/admin/server.rs
@@ -1,6 +1,7 @@
 //! The listener of operators' calls: one call to a connection, read within a time, so many at once.
 
 use crate::core::Operation;
+use crate::net::Phase;
 use crate::net::admin::call::{self, Asked};
 use actix_codec::{Decoder, Encoder};
 use actix_http::body::BodySize;
@@ -38,8 +39,7 @@
     pub operations: mpsc::Sender<Operation>,
     /// Whether there is a list that requests can be served by.
     pub ready: watch::Receiver<bool>,
-    /// Whether this process takes clients.
-    pub serving: watch::Receiver<bool>,
+    pub phase: watch::Receiver<Phase>,
 }
 
 /// The listener, which lives as long as this is held.
@@ -170,10 +170,13 @@
 }
 
 async fn asked(request: &Request, service: &Service) -> Response<()> {
+    let phase = *service.phase.borrow();
     let code = match call::read(request.method(), request.path()) {
         Err(no) => return no.response(),
-        Ok(Asked::Healthcheck) if *service.ready.borrow() && *service.serving.borrow() => StatusCode::OK,
+        Ok(Asked::Healthcheck) if *service.ready.borrow() && phase == Phase::Serving => StatusCode::OK,
         Ok(Asked::Healthcheck) => StatusCode::SERVICE_UNAVAILABLE,
+        // What holds is another process's to say, and comes from there.
+        Ok(Asked::Operation(_)) if phase == Phase::Preparing => StatusCode::SERVICE_UNAVAILABLE,
         Ok(Asked::Operation(call)) => {
             let (done, held) = oneshot::channel();
             let asked = async {
--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -1,11 +1,12 @@
 //! Datagrams between instances: UDP, each with the fleet's code. What is not the fleet's is dropped and counted.
 
 use crate::core::{Handle, Message, Outgoing};
+use crate::net::Phase;
 use rowanglade_fleet_state::{Key, Peer, decode, encode, wire};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
 /// How often datagrams that were not taken are told of.
@@ -21,12 +22,21 @@
 }
 
 /// Carries datagrams until the core lets go of the mailbox.
-pub async fn run(socket: UdpSocket, peers: Peers, core: Handle, mut out: mpsc::Receiver<Outgoing>) {
+pub async fn run(
+    socket: UdpSocket,
+    peers: Peers,
+    core: Handle,
+    mut out: mpsc::Receiver<Outgoing>,
+    mut phase: watch::Receiver<Phase>,
+) {
     let mut buffer = [0; wire::LONGEST + 1];
     let (mut strange, mut told) = (0u64, Instant::now());
     loop {
+        // Datagrams are for the process that serves, though others may hold the socket too.
+        let serving = phase.borrow_and_update().accepts();
         tokio::select! {
-            received = socket.recv_from(&mut buffer) => {
+            Ok(()) = phase.changed() => {}
+            received = socket.recv_from(&mut buffer), if serving => {
                 let Ok((length, from)) = received else { continue };
                 let number = peers.addrs.iter().position(|a| *a == from).map(|i| Peer(i as u16));
                 let heard = number.filter(|n| *n != peers.me).map(|n| (n, decode(&peers.key, n, &buffer[..length])));
--- a/src/net/http/clients.rs
+++ b/src/net/http/clients.rs
@@ -77,8 +77,8 @@
 
 #[derive(Debug)]
 struct Book {
-    most: usize,
-    most_idle: usize,
+    most: Cell<usize>,
+    most_idle: Cell<usize>,
     /// Idle connections stay.
     kept: Cell<bool>,
     next: Cell<u64>,
@@ -89,8 +89,8 @@
     /// A book with room for so many, of which so many may stand idle for long.
     pub fn new(most: usize, most_idle: usize) -> Clients {
         Clients(Rc::new(Book {
-            most,
-            most_idle,
+            most: Cell::new(most),
+            most_idle: Cell::new(most_idle),
             kept: Cell::new(false),
             next: Cell::new(0),
             seats: RefCell::default(),
@@ -101,6 +101,12 @@
         self.0.seats.borrow().len()
     }
 
+    /// From now on there is room for so many. Those beyond it make way as others come.
+    pub fn resize(&self, most: usize, most_idle: usize) {
+        self.0.most.set(most);
+        self.0.most_idle.set(most_idle);
+    }
+
     /// From now on idle connections stay open: when the program is told to end, no new ones come for them.
     pub fn keep(&self) {
         self.0.kept.set(true);
@@ -110,7 +116,7 @@
     /// them have a request open, and the new one is closed.
     pub fn seat(&self, stream: TcpStream) -> Option<Guarded> {
         let mut seats = self.0.seats.borrow_mut();
-        if seats.len() >= self.0.most {
+        if seats.len() >= self.0.most.get() {
             let number = spare(&seats)?;
             seats.remove(&number)?.end();
         }
@@ -146,7 +152,7 @@
         }
         let mut idle: Vec<&Rc<Seat>> = live().filter(|s| s.phase.get() == Phase::Idle).collect();
         idle.sort_by_key(|s| s.since.get());
-        let spare = if self.0.kept.get() { 0 } else { idle.len().saturating_sub(self.0.most_idle) };
+        let spare = if self.0.kept.get() { 0 } else { idle.len().saturating_sub(self.0.most_idle.get()) };
         idle.into_iter().take(spare).filter(|s| lasted(s) >= BRIEFLY).for_each(|s| s.end());
     }
 }
--- a/src/net/http/discovery.rs
+++ b/src/net/http/discovery.rs
@@ -5,7 +5,7 @@
 use crate::net::http::dial;
 use awc::Client;
 use rowanglade_routing::BoxInfo;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
@@ -26,14 +26,14 @@
 const LARGEST_LIST: usize = 4 << 20;
 
 /// A list as discovery and the configuration word it.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Page {
     version: u64,
     full: bool,
     servers: Vec<Line>,
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 struct Line {
     id: String,
     addr: SocketAddr,
@@ -47,7 +47,7 @@
     started_ms: u64,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 enum State {
     Active,
@@ -74,6 +74,24 @@
     }
 }
 
+impl From<Listed> for Line {
+    fn from(listed: Listed) -> Line {
+        Line {
+            id: listed.name,
+            addr: listed.addr,
+            zone: listed.zone,
+            kind: listed.kind,
+            cell: listed.shard,
+            state: match listed.state {
+                NodeState::In => State::Active,
+                NodeState::Draining => State::Leaving,
+                NodeState::Gone => State::Left,
+            },
+            started_ms: listed.started.unwrap_or(0) / 1_000,
+        }
+    }
+}
+
 /// The list as this initiator last held it: perhaps stale.
 pub fn remembered(page: Page) -> Message {
     let entries = page.servers.into_iter().map(Listed::from).collect();
@@ -81,6 +99,11 @@
 }
 
 impl Page {
+    /// The whole list, as another process of this initiator holds it. Its version is not known.
+    pub fn of(list: Vec<Listed>) -> Page {
+        Page { version: 0, full: true, servers: list.into_iter().map(Line::from).collect() }
+    }
+
     /// The boxes in it that have not left, as routes see them.
     pub fn boxes(&self) -> Vec<BoxInfo> {
         let here = self.servers.iter().filter(|l| l.state != State::Left);
--- a/src/net/http/server.rs
+++ b/src/net/http/server.rs
@@ -1,6 +1,7 @@
 //! The front for the platform's clients.
 
 use crate::core::{Answer, Handle};
+use crate::net::Phase;
 use crate::net::http::clients::{Clients, Guarded, Seat};
 use crate::net::http::message::{self, LARGEST_BODY};
 use actix_http::{
@@ -35,6 +36,8 @@
     pub core: Handle,
     /// Turns true when connections are to be closed: idle ones at once, the others with their answers.
     pub closing: watch::Receiver<bool>,
+    /// Clients are accepted while this process serves. Once it leaves, connections close with their next answer.
+    pub phase: watch::Receiver<Phase>,
     pub clients: Clients,
     /// Bytes that bodies may take up together from now on.
     pub body_bytes: Rc<Cell<usize>>,
@@ -63,9 +66,13 @@
         service.new_service(()).await.map_err(|()| io::Error::other("the HTTP service did not start"))?;
     let service = Rc::new(service);
     let mut sweep = tokio::time::interval(SWEEP);
+    let mut phase = front.phase.clone();
     loop {
+        // What is not accepted here waits for the process that serves.
+        let accepting = phase.borrow_and_update().accepts();
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            accepted = listener.accept(), if accepting => accepted,
+            Ok(()) = phase.changed() => continue,
             _ = sweep.tick() => {
                 front.clients.sweep();
                 continue;
@@ -109,7 +116,7 @@
     } else {
         serve_one(&front, &mut request).await.unwrap_or_else(|error| error)
     };
-    if *front.closing.borrow() {
+    if *front.closing.borrow() || *front.phase.borrow() == Phase::Leaving {
         response.head_mut().set_connection_type(ConnectionType::Close);
     }
     response
--- a/src/net/iscsi/front.rs
+++ b/src/net/iscsi/front.rs
@@ -1,6 +1,7 @@
 //! Sessions that come in: this side is the target.
 
 use crate::core::{Answer, Handle, Order, Origin, Unfit, Wire};
+use crate::net::Phase;
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use futures_util::future::{AbortHandle, Abortable, LocalBoxFuture};
@@ -56,6 +57,8 @@
     pub blocks_per_unit: u32,
     /// Turns true when the program is to end: sessions are asked to log out.
     pub ending: watch::Receiver<bool>,
+    /// Sessions are accepted while this process serves.
+    pub phase: watch::Receiver<Phase>,
     /// Sessions open at once; further connections are closed.
     pub most_sessions: usize,
     /// Sessions open now.
@@ -65,8 +68,14 @@
 /// Accepts sessions until dropped. Sessions go on by themselves.
 pub async fn serve(listener: TcpListener, front: Rc<Front>) {
     let mut number: u64 = 0;
+    let mut phase = front.phase.clone();
     loop {
-        match listener.accept().await {
+        let accepting = phase.borrow_and_update().accepts();
+        let accepted = tokio::select! {
+            accepted = listener.accept(), if accepting => accepted,
+            Ok(()) = phase.changed() => continue,
+        };
+        match accepted {
             Ok((stream, _)) if front.sessions.get() < front.most_sessions => {
                 number += 1;
                 let (front, prefix) = (Rc::clone(&front), number);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,9 @@
 //! The fronts, the targets and the list on their wires.
 
 pub mod admin;
+mod budget;
 pub mod fleet;
 pub mod http;
 pub mod iscsi;
+
+pub use budget::{Budget, Phase};
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,16 +1,18 @@
 //! Puts an initiator together and runs it until it is told to end.
 
-use crate::config::{Config, ConfigError, Decided, Iscsi, Limits, Reload, Routing};
+use crate::config::{Config, ConfigError, Decided, Iscsi, Reload, Routing};
 use crate::core::{
-    self, AccessLog, Beside, Clock, Connect, Core, Fleet, Handle, Listed, Loaded, Message, Wire,
+    self, AccessLog, Beside, Call, Clock, Connect, Core, Fleet, Handle, Listed, Loaded, Message, Wire,
 };
 use crate::interface::{ListKind, NodeState};
-use crate::net::{admin, fleet, http, iscsi};
+use crate::net::{Budget, Phase, admin, fleet, http, iscsi};
 use crate::settings::Settings;
+use crate::upgrade::{Begun, Controls, Keeper, Listeners, Meeting};
 use rowanglade_routing::check::Decision;
 use rowanglade_routing::{BoxInfo, Table};
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -53,6 +55,8 @@
 pub enum Error {
     Config(ConfigError),
     Io(std::io::Error),
+    /// A process of this initiator serves, and what it says of itself cannot be understood.
+    Version(u32),
 }
 
 impl std::fmt::Display for Error {
@@ -60,6 +64,11 @@
         match self {
             Error::Config(e) => e.fmt(f),
             Error::Io(e) => write!(f, "serve: {e}"),
+            Error::Version(version) => write!(
+                f,
+                "serve: the process that serves hands over by version {version}, which this one does not know: \
+                 end it first"
+            ),
         }
     }
 }
@@ -221,9 +230,10 @@
     iscsi: Option<(TcpListener, Iscsi)>,
     /// Absent where operators call nowhere.
     admin: Option<admin::Admin>,
-    /// Whether this process takes clients, as operators are told.
-    serving: watch::Sender<bool>,
-    limits: Limits,
+    phase: Rc<watch::Sender<Phase>>,
+    budget: Budget,
+    /// Absent where no process can replace this one.
+    keeper: Option<(Keeper, Controls, mpsc::Receiver<Call>)>,
     classes: Vec<(String, Duration)>,
     /// How long finishing may take once the end is told.
     patience: Duration,
@@ -232,20 +242,40 @@
 impl Node {
     /// Starts the core, the list and the listeners.
     pub async fn start(config: Config) -> Result<Node, Error> {
-        let clock = Clock::start();
         let (gateway, names) = config.decide().map_err(Error::Config)?;
-        let http = TcpListener::bind(config.listen).await?;
+        let (keeper, mut listeners, welcome) = match meet(&config).await {
+            None => (None, Listeners::default(), None),
+            Some((_, Begun::Refused { version })) => return Err(Error::Version(version)),
+            Some((keeper, Begun::Alone)) => (Some(keeper), Listeners::default(), None),
+            Some((keeper, Begun::Welcomed(welcome, listeners))) => (Some(keeper), listeners, Some(welcome)),
+        };
+        // Times that go from one process to the next are on one clock.
+        let clock = welcome.as_ref().map_or_else(Clock::start, |w| Clock::at_present(w.now));
+        let http = listen(&mut listeners, "http", "listen", config.listen).await?;
         let admin = config.admin.map(bind_admin).transpose()?;
         let limits = config.limits.less(if admin.is_some() { admin::OWN_SOCKETS } else { 0 });
         let iscsi = match config.iscsi {
-            Some(iscsi) => Some((TcpListener::bind(iscsi.listen).await?, iscsi)),
+            Some(iscsi) => {
+                Some((listen(&mut listeners, "iscsi", "iscsi.listen", iscsi.listen).await?, iscsi))
+            }
             None => None,
         };
+        let phase = Rc::new(watch::Sender::new(Phase::Preparing));
+        let mut passed = vec![("http".to_string(), http.as_fd().try_clone_to_owned()?)];
+        if let Some((listener, _)) = &iscsi {
+            passed.push(("iscsi".to_string(), listener.as_fd().try_clone_to_owned()?));
+        }
         let (ask, asked) = mpsc::channel(4);
         let (idle, stall) = (config.settings.conn_idle() / 2, config.settings.tightest_aim() / 2);
         let stall = stall.clamp(SHORTEST_STALL, LONGEST_STALL);
         let links = http::Links::new(limits.target_sockets(), idle, stall, REST);
         actix_rt::spawn(links.clone().sweep());
+        let sessions = iscsi.as_ref().map_or(0, |_| limits.sessions());
+        let clients = http::Clients::new(limits.client_sockets(sessions), limits.idle_clients());
+        let budget = Budget::new(limits, sessions, clients, links.clone());
+        if let Some(welcome) = &welcome {
+            budget.share(welcome.share.descriptors);
+        }
         let connect_timeout = config.settings.connect_timeout();
         let pool = http::Pool { connect_timeout, links };
         let access_log = config.access_log.as_ref().map(|c| AccessLog::open(&c.path, c.queue)).transpose()?;
@@ -264,26 +294,34 @@
         let fleet = match config.fleet {
             None => None,
             Some(peers) => {
-                let socket = UdpSocket::bind(peers.addrs[usize::from(peers.me.0)]).await?;
+                let socket = match listeners.take("fleet") {
+                    Some(fd) => UdpSocket::from_std(fd.into())?,
+                    None => UdpSocket::bind(peers.addrs[usize::from(peers.me.0)]).await?,
+                };
+                passed.push(("fleet".to_string(), socket.as_fd().try_clone_to_owned()?));
                 let (out, outgoing) = mpsc::channel(PEER_MAILBOX);
-                actix_rt::spawn(fleet::run(socket, peers, core.clone(), outgoing));
+                actix_rt::spawn(fleet::run(socket, peers, core.clone(), outgoing, phase.subscribe()));
                 Some(Fleet::new(incarnation(), out))
             }
         };
         let (operator, operations) = mpsc::channel(OPERATIONS);
-        let serving = watch::Sender::new(false);
         let admin = match admin {
             None => None,
             Some(listener) => {
-                let (ready, serving) = (core.readiness(), serving.subscribe());
-                Some(admin::open(listener, admin::Service { operations: operator, ready, serving })?)
+                let (ready, phase) = (core.readiness(), phase.subscribe());
+                Some(admin::open(listener, admin::Service { operations: operator, ready, phase })?)
             }
         };
-        let beside = Beside { table: in_force, fleet, operations };
+        let (upgrades, asked_of_core) = mpsc::channel(OPERATIONS);
+        let (tell_call, calls) = mpsc::channel(OPERATIONS);
+        let beside = Beside { table: in_force, fleet, operations, upgrades: asked_of_core, calls: tell_call };
         actix_rt::spawn(Core::new(gateway, names, clock, inbox, ask, connect, beside).run());
         let version = config.known.as_ref().map(http::Page::version);
+        // What the predecessor holds is newer than what the platform remembers. The watch goes on from the latter's
+        // version: what it tells again changes nothing.
+        let known = welcome.map(|w| w.list).or(config.known).unwrap_or_default();
         // The module asks for the list once it hears of anything: of a list that it never had, too.
-        core.tell(http::remembered(config.known.unwrap_or_default())).await;
+        core.tell(http::remembered(known)).await;
         if let Some((_, iscsi)) = &iscsi {
             core.tell(portals(iscsi)).await;
         }
@@ -298,7 +336,12 @@
         // Without an older table to keep, one that waits for a box is in force from the start.
         let undecided = open.then(|| Rc::new(routing));
         let reloads = Reloads { discovery, access_log, table, undecided };
-        Ok(Node { core, reloads, http, iscsi, admin, serving, limits, classes, patience })
+        let keeper = keeper.map(|keeper| {
+            let (ready, listeners) = (core.readiness(), Listeners(passed));
+            let (phase, budget) = (Rc::clone(&phase), budget.clone());
+            (keeper, Controls { core: upgrades, ready, phase, budget, listeners }, calls)
+        });
+        Ok(Node { core, reloads, http, iscsi, admin, phase, budget, keeper, classes, patience })
     }
 
     /// Where a new configuration is taken while it runs.
@@ -325,9 +368,7 @@
     pub async fn run(self, told: impl Future<Output = ()>) -> std::io::Result<()> {
         let ending = watch::Sender::new(false);
         let (closing, closing_rx) = watch::channel(false);
-        let most_sessions = self.iscsi.as_ref().map_or(0, |_| self.limits.sessions());
-        let most = self.limits.client_sockets(most_sessions);
-        let clients = http::Clients::new(most, self.limits.idle_clients());
+        let clients = self.budget.clients.clone();
         let sessions = Rc::new(Cell::new(0));
         if let Some((listener, iscsi)) = self.iscsi {
             let front = iscsi::Front {
@@ -337,7 +378,8 @@
                 classes: self.classes,
                 blocks_per_unit: iscsi.blocks_per_unit,
                 ending: ending.subscribe(),
-                most_sessions,
+                phase: self.phase.subscribe(),
+                most_sessions: self.budget.sessions,
                 sessions: Rc::clone(&sessions),
             };
             actix_rt::spawn(iscsi::serve(listener, Rc::new(front)));
@@ -345,11 +387,23 @@
         let front = http::Front {
             core: self.core.clone(),
             closing: closing_rx,
+            phase: self.phase.subscribe(),
             clients: clients.clone(),
-            body_bytes: Rc::new(Cell::new(self.limits.body_bytes())),
+            body_bytes: Rc::new(Cell::new(self.budget.limits.body_bytes())),
         };
         let mut front = Box::pin(http::serve(self.http, front));
-        self.serving.send_replace(true);
+        match self.keeper {
+            // It turns the phase once what is owned is this process's.
+            Some((keeper, controls, calls)) => drop(actix_rt::spawn(keeper.run(controls, calls))),
+            None => drop(self.phase.send_replace(Phase::Serving)),
+        }
+        // Sessions go to the process that serves.
+        let (mut phase, leave) = (self.phase.subscribe(), ending.clone());
+        actix_rt::spawn(async move {
+            if phase.wait_for(|phase| *phase == Phase::Leaving).await.is_ok() {
+                leave.send_replace(true);
+            }
+        });
         tokio::select! {
             end = &mut front => return end,
             () = told => {}
@@ -358,7 +412,13 @@
         let told = Instant::now();
         let (serve_until, end) = (told + self.patience - LAST_ANSWERS, told + self.patience);
         tracing::info!(open = self.core.open(), "ending");
-        self.serving.send_replace(false);
+        self.phase.send_if_modified(|phase| {
+            let serving = *phase == Phase::Serving;
+            if serving {
+                *phase = Phase::Ending;
+            }
+            serving
+        });
         ending.send_replace(true);
         clients.keep();
         let held = || clients.open() > 0 || self.core.open() > 0;
@@ -387,6 +447,37 @@
     }
 }
 
+/// Looks for a process of this initiator that serves. None: none could replace this one, nor be replaced.
+async fn meet(config: &Config) -> Option<(Keeper, Begun)> {
+    // Without operators' calls nobody would learn when the successor serves.
+    let folder = config.meeting.as_ref().filter(|_| config.admin.is_some())?;
+    let begun = match Meeting::within(folder, &config.name) {
+        Ok(meeting) => Keeper::begin(meeting).await,
+        Err(error) => Err(error),
+    };
+    begun
+        .inspect_err(|error| {
+            tracing::warn!(folder = %folder.display(), %error, "no process can replace this one");
+        })
+        .ok()
+}
+
+/// What a predecessor accepts on, or a listener of this process's own.
+async fn listen(
+    listeners: &mut Listeners,
+    name: &str,
+    key: &str,
+    addr: SocketAddr,
+) -> Result<TcpListener, Error> {
+    if let Some(fd) = listeners.take(name) {
+        let listener = std::net::TcpListener::from(fd);
+        listener.set_nonblocking(true)?;
+        return Ok(TcpListener::from_std(listener)?);
+    }
+    let wrong = |e| Error::Config(ConfigError::new(key, format!("{addr}: {e}")));
+    TcpListener::bind(addr).await.map_err(wrong)
+}
+
 fn bind_admin(addr: SocketAddr) -> Result<std::net::TcpListener, Error> {
     std::net::TcpListener::bind(addr)
         .map_err(|e| Error::Config(ConfigError::new("admin", format!("{addr}: {e}"))))
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -6,6 +6,8 @@
 use rowanglade_warmup as warmup;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+pub mod handed;
+
 /// Weight of a new answer in the learned latency and speed.
 const SMOOTHING: f64 = 0.1;
 /// What was learned this long ago counts e times less, and an answer then weighs up to this.
@@ -59,6 +61,7 @@
 const LOST_AFTER: f64 = 4.0;
 /// Idle volumes and keys are forgotten after this long.
 const FORGET: Micros = 30_000_000;
+const NEVER: Micros = 1_000_000_000_000_000; // later than any time that counts
 
 #[derive(Clone, Copy, PartialEq)]
 enum Ran {
@@ -171,6 +174,7 @@
     cold: warmup::Rule,
     random: u64,
     born: Option<Micros>,
+    handed: bool, // another process has the units and the cold budgets
     background: Vec<bool>,
     tightest: Micros,
     all: Node,         // what the answers of all nodes tell
@@ -248,6 +252,10 @@
                 }
             }
             Event::Probed { .. } => {}
+            Event::Handed(handed) => {
+                self.handed = handed;
+                self.tick(now, act);
+            }
             Event::Wake { token } => {
                 if self.wake_at == Some(token) {
                     self.wake_at = None;
@@ -625,11 +633,14 @@
     /// This gateway's part of what its volume's limit has left, what a request lacks of it, and for how long.
     fn limit(&self, now: Micros, h: &Held) -> Option<(f64, f64, Micros)> {
         let l = self.s.plans[h.plan?.0 as usize].limit?;
+        if self.handed {
+            return Some((0.0, h.units, NEVER));
+        }
         let (left, at) = self.limits.get(&h.volume).copied().unwrap_or((0.0, self.born.unwrap_or(now)));
         let filled = now.saturating_sub(at) as f64 / 1e6 * l.rate / h.gateways;
         let left = (left + filled).min(l.burst / h.gateways);
         let lacking = h.units - left - l.slack / h.gateways;
-        Some((left, lacking, (lacking.max(0.0) / l.rate * h.gateways * 1e6).min(1e15) as Micros))
+        Some((left, lacking, (lacking.max(0.0) / l.rate * h.gateways * 1e6).min(NEVER as f64) as Micros))
     }
 
     /// What this gateway's store of a volume holds, and at most; none where no request of it came.
@@ -683,6 +694,9 @@
         if !self.is_cold(now, node) {
             return now;
         }
+        if self.handed {
+            return NEVER;
+        }
         let n = &self.nodes[&node].warming;
         let even = n.even_until(&self.cold, now, self.born.unwrap_or(0), before + h.units);
         even.min(self.reserved(h).map_or(even, |(pace, rate)| pace.until(&self.cold, n, now, rate, h.units)))
@@ -894,8 +908,10 @@
             self.answer(now, id, act);
         }
         // Given up at once: what waited unsent for too long, and what its limit keeps too long.
+        let node = |h: &Held| h.shard.and_then(|s| self.node_of(s, h.reach)).filter(|_| self.handed);
+        let cold = |h: &Held| node(h).is_some_and(|n| self.cold_until(now, n, h, 0.0) >= h.deadline);
         let kept = |h: &Held| self.limit(now, h).is_some_and(|(.., fill)| now + fill >= h.deadline);
-        let late = |h: &Held| kept(h) || h.patience < now;
+        let late = |h: &Held| kept(h) || cold(h) || h.patience < now;
         let lost = |(_, h): &(_, &Held)| h.waiting && h.tries.is_empty() && late(h);
         let lost: Vec<_> = self.requests.iter().filter(lost).map(|(id, _)| *id).collect();
         lost.into_iter().for_each(|id| self.answer(now, id, act));
--- /dev/null
+++ b/src/rules/handed.rs
@@ -0,0 +1,129 @@
+//! What a gateway hands over to its successor, and what it goes on with after. Nothing is decided here: the state is
+//! read out of one module and put into another, which decides with it as the first would have.
+
+use super::{Gateway, Node};
+use crate::interface::{Micros, NodeId, VolumeId};
+use rowanglade_warmup as warmup;
+use serde::{Deserialize, Serialize};
+
+/// What is owned and what was learned, with nodes and volumes called by `N` and `V`.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Handed<N, V> {
+    /// Since when all that was sent is known.
+    born: Option<Micros>,
+    all: Learned,
+    /// For each class, in the settings' order.
+    margins: Vec<f64>,
+    nodes: Vec<(N, OfNode)>,
+    volumes: Vec<(V, OfVolume)>,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+struct Learned {
+    latency: f64,
+    speed: f64,
+    heard: Option<Micros>,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+struct OfNode {
+    /// What was learned and sent since another start is void.
+    started: Option<Micros>,
+    learned: Learned,
+    rest_until: Micros,
+    failing: u32,
+    warming: warmup::Node,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+struct OfVolume {
+    /// Units left of the limit, and when that was so.
+    left: Option<(f64, Micros)>,
+    pace: warmup::Pace,
+}
+
+impl<N, V> Handed<N, V> {
+    /// The same, with other names. What `node` or `volume` does not know is left out.
+    pub fn named<M, W>(
+        self,
+        mut node: impl FnMut(N) -> Option<M>,
+        mut volume: impl FnMut(V) -> Option<W>,
+    ) -> Handed<M, W> {
+        Handed {
+            born: self.born,
+            all: self.all,
+            margins: self.margins,
+            nodes: self.nodes.into_iter().filter_map(|(n, of)| Some((node(n)?, of))).collect(),
+            volumes: self.volumes.into_iter().filter_map(|(v, of)| Some((volume(v)?, of))).collect(),
+        }
+    }
+}
+
+impl Learned {
+    fn of(node: &Node) -> Learned {
+        Learned { latency: node.latency, speed: node.speed, heard: node.heard }
+    }
+
+    fn put(self, node: &mut Node) {
+        (node.latency, node.speed, node.heard) = (self.latency, self.speed, self.heard);
+    }
+}
+
+impl Gateway {
+    /// All of it. It stays here too, until the successor has it for good.
+    pub fn handed(&self) -> Handed<NodeId, VolumeId> {
+        let mut volumes: std::collections::BTreeMap<VolumeId, OfVolume> =
+            self.volumes.iter().map(|(id, v)| (*id, OfVolume { left: None, pace: v.pace })).collect();
+        for (id, left) in &self.limits {
+            volumes.entry(*id).or_default().left = Some(*left);
+        }
+        let of_node = |n: &Node| OfNode {
+            started: n.started,
+            learned: Learned::of(n),
+            rest_until: n.rest_until,
+            failing: n.failing,
+            warming: n.warming.clone(),
+        };
+        Handed {
+            born: self.born,
+            all: Learned::of(&self.all),
+            margins: self.margins.clone(),
+            nodes: self.nodes.iter().map(|(id, n)| (*id, of_node(n))).collect(),
+            volumes: volumes.into_iter().collect(),
+        }
+    }
+
+    /// Goes on with what another gave, on the same clock. Nodes are those of the list that was told here.
+    pub fn take(&mut self, given: Handed<NodeId, VolumeId>) {
+        self.born = given.born.or(self.born);
+        given.all.put(&mut self.all);
+        if given.margins.len() == self.margins.len() {
+            self.margins = given.margins;
+        }
+        for (id, of) in given.nodes {
+            if let Some(n) = self.nodes.get_mut(&id).filter(|n| n.started == of.started) {
+                of.learned.put(n);
+                (n.rest_until, n.failing, n.warming) = (of.rest_until, of.failing, of.warming);
+            }
+        }
+        for (id, of) in given.volumes {
+            if let Some(left) = of.left {
+                self.limits.insert(id, left);
+            }
+            self.volumes.entry(id).or_default().pace = of.pace;
+        }
+    }
+
+    /// Goes on from nothing, as if it had just started: another had what is owned, and may have spent it.
+    pub fn forget_owned(&mut self, now: Micros) {
+        self.born = Some(now);
+        self.limits.clear();
+        self.volumes.values_mut().for_each(|v| v.pace = warmup::Pace::default());
+        for n in self.nodes.values_mut() {
+            n.warming = warmup::Node::new(n.started.unwrap_or(0), now, 1.0);
+        }
+    }
+}
