Let long bodies pass through both ways in pieces, and take a target's 504 for what it says

Need: answers beyond 64 KiB were taken for spoilt ones, and longer requests turned away.

Design: up to 64 KiB of a body is held, so that a short request can be sent again and a short answer be tried for again. What is longer passes through: an answer goes to its client piece by piece from its first bytes on, with two pieces of 16 KiB waiting at most and the target read no faster than the client; a request is handed to the module with its first 64 KiB held, and the attempt takes the rest from the client as the target takes it, listening for an early answer meanwhile. Once some of the rest is taken the request cannot be sent again: the module hears `Started`, which frees the room it took up at the node and stops its deadline, and the attempt's end is the answer. A body may take 2 s and a second more for every 64 kB. Answers that end with their connection are read, if they say so. Not taken: spooling to a file, which counts as memory; and telling the module of a long answer only at its end, which would learn the client's slowness as the node's latency.

(2) 527 of 5,582 reads were refused after three attempts that the target had answered with 504 and X-Unprocessed, all written slowly or in pieces, whatever their length, header or connection (a probe ruled these out, and the time since the first byte: 451 of them came within 0.25 s). That answer says that the request is over, not that the node is full: counted as full it made the node rest, and taught it a latency of the client's whole patience ("lat=680 out=0.0 fail=3" in the log of refusals). It ends the request now, and says nothing of the node.

Tests: answers and requests of every form through scripted targets, cut anywhere, refused half way, broken off; the slow client's connection; a 504.

--- a/src/core/access_log.rs
+++ b/src/core/access_log.rs
@@ -110,7 +110,7 @@
             hosts: order.hosts,
             key: order.repeat_key.clone(),
             left_ms: u64::try_from(order.time_left.as_millis()).unwrap_or(u64::MAX),
-            sent: order.body.len() as u64,
+            sent: order.more.as_ref().and_then(|m| m.length()).unwrap_or(order.body.len() as u64),
             end: End::Gone,
             received: 0,
             took_us: 0,
@@ -152,7 +152,7 @@
     pub(super) fn end(mut self, answer: &Answer) {
         if let Some(line) = &mut self.line {
             (line.end, line.received, line.wait_ms) = match answer {
-                Answer::Served(body) => (End::Served, body.len() as u64, 0),
+                Answer::Served(body) => (End::Served, body.length(), 0),
                 Answer::Refused { wait } => (End::Refused, 0, wait.as_millis() as u64),
                 Answer::Failed => (End::Failed, 0, 0),
             };
@@ -277,6 +277,7 @@
             hosts: 1,
             length: 0,
             body: Bytes::from_static(b"four"),
+            more: None,
             time_left: Duration::from_millis(400),
         }
     }
@@ -304,7 +305,7 @@
     async fn lines_tell_how_requests_ended_and_are_read_again() {
         let path = file("ends");
         let log = AccessLog::open(&path, 10).expect("opened");
-        log.begin(&order("a")).end(&Answer::Served(Bytes::from_static(b"x")));
+        log.begin(&order("a")).end(&Answer::Served(Bytes::from_static(b"x").into()));
         log.begin(&order("b")).end(&Answer::Refused { wait: Duration::from_millis(5) });
         log.begin(&order("c")).end(&Answer::Failed);
         drop(log.begin(&order("d")));
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -240,6 +240,13 @@
                 let (open, targets, routes) = (self.open.get(), self.targets.len(), self.routes.versions());
                 tracing::info!(open, targets, ?routes, ready = *self.ready.borrow(), "status");
             }
+            Message::Begun { id, number } => {
+                if let Some(open) = self.requests.get(&id) {
+                    // Its deadline runs from the last byte on, which the attempt itself keeps.
+                    self.backstops.remove(&(open.deadline + BACKSTOP, id));
+                    self.feed(Event::Started { id, attempt: number });
+                }
+            }
             Message::Ended { id, number, reply } => self.ended(id, number, reply),
             Message::Probed { node, outcome, took, load } => {
                 self.feed(Event::Probed { node, outcome, took, load });
@@ -294,8 +301,22 @@
     fn ended(&mut self, id: RequestId, number: Number, reply: Reply) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some(out) = open.attempts.get_mut(number.0 as usize).and_then(Option::take) else { return };
-        if reply.outcome == Outcome::Served {
-            self.conclude(id, Some(Answer::Served(reply.body)));
+        let upload = open.order.more.clone();
+        let begun = upload.as_ref().is_some_and(|u| u.begun());
+        // A long body counts from its last byte.
+        let whole = upload.and_then(|u| u.whole()).map_or(0, |at| self.clock.at(at));
+        match reply.outcome {
+            Outcome::Served => {
+                self.conclude(id, Some(Answer::Served(reply.body)));
+            }
+            // What was taken of a long body is not there for another attempt.
+            outcome if begun && outcome.never_ran() => {
+                self.conclude(id, Some(Answer::Refused { wait: Duration::ZERO }));
+            }
+            _ if begun => {
+                self.conclude(id, Some(Answer::Failed));
+            }
+            _ => {}
         }
         let over = self.requests.get(&id).is_none_or(|o| o.answer.is_none());
         self.feed(Event::Outcome {
@@ -303,7 +324,7 @@
             attempt: number,
             node: out.node,
             outcome: reply.outcome,
-            took: self.clock.now().saturating_sub(out.sent),
+            took: self.clock.now().saturating_sub(out.sent.max(whole)),
             over,
             used: reply.used,
             elsewhere: reply.elsewhere,
@@ -318,6 +339,10 @@
         let Some(client) = open.answer.take() else { return false };
         self.backstops.remove(&(open.deadline + BACKSTOP, id));
         self.open.set(self.open.get() - 1);
+        if open.order.more.is_some() {
+            // Its attempts may last beyond its deadline.
+            open.attempts.iter_mut().flatten().for_each(|out| out.cancel = oneshot::channel().0);
+        }
         if let Some(answer) = answer {
             // A client that left this moment has nobody to tell.
             let _ = client.send(answer);
@@ -618,13 +643,14 @@
         // Without a place for its end, or a target that takes it, the attempt never was.
         let sent = open.answer.is_some()
             && self.targets.get(&node).is_some_and(|target| {
-                let place = self.tx.upgrade().and_then(|tx| tx.try_reserve_owned().ok());
-                place.is_some_and(|place| {
+                let reserve = || self.tx.upgrade().and_then(|tx| tx.try_reserve_owned().ok());
+                let begun = open.order.more.as_ref().and_then(|_| reserve());
+                reserve().is_some_and(|place| {
                     let attempt = Attempt {
                         order: Rc::clone(&open.order),
                         until: self.clock.instant(until),
                         cancel: canceled,
-                        report: Report::new(id, number, place),
+                        report: Report::new(id, number, place, begun),
                     };
                     match target.mailbox.try_send(TargetMessage::Attempt(attempt)) {
                         Ok(()) => true,
@@ -730,6 +756,7 @@
             hosts: 1,
             length: 0,
             body: Bytes::new(),
+            more: None,
             time_left: Duration::from_millis(1_000),
         }
     }
--- a/src/core/attempt.rs
+++ b/src/core/attempt.rs
@@ -42,11 +42,25 @@
 #[derive(Debug)]
 pub struct Report {
     to: Option<(RequestId, Number, OwnedPermit<Message>)>,
+    /// Of a long body: the place for the news that its rest is being taken.
+    begun: Option<OwnedPermit<Message>>,
 }
 
 impl Report {
-    pub(super) fn new(id: RequestId, number: Number, place: OwnedPermit<Message>) -> Report {
-        Report { to: Some((id, number, place)) }
+    pub(super) fn new(
+        id: RequestId,
+        number: Number,
+        place: OwnedPermit<Message>,
+        begun: Option<OwnedPermit<Message>>,
+    ) -> Report {
+        Report { to: Some((id, number, place)), begun }
+    }
+
+    /// The rest of a long body is being taken.
+    pub fn begun(&mut self) {
+        if let (Some((id, number, _)), Some(place)) = (&self.to, self.begun.take()) {
+            place.send(Message::Begun { id: *id, number: *number });
+        }
     }
 
     pub fn tell(mut self, reply: Reply) {
--- a/src/core/message.rs
+++ b/src/core/message.rs
@@ -1,11 +1,13 @@
 //! What passes between the core and its neighbours, in no wire's words.
 
+use crate::core::body::{Content, Upload};
 use crate::interface::{Attempt as Number, Load, Micros, NodeId, NodeState, Outcome, RequestId};
 use crate::upgrade::Given;
 use bytes::Bytes;
 use rowanglade_fleet_state::Peer;
 use serde::{Deserialize, Serialize};
 use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
 
@@ -18,7 +20,7 @@
 }
 
 /// A client's request. A front decodes it once; a target encodes it once.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug)]
 pub struct Order {
     pub origin: Origin,
     /// The client's own name for it.
@@ -40,16 +42,19 @@
     pub hosts: u32,
     /// The bytes that a read asks for. 0: not told.
     pub length: u32,
+    /// All of its body, or the first bytes of a long one.
     pub body: Bytes,
-    /// How long the client waits, from now.
+    /// The rest of a long body.
+    pub more: Option<Rc<Upload>>,
+    /// How long the client waits, from now, or from the last byte of a long body.
     pub time_left: Duration,
 }
 
 /// The one final answer.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Debug, PartialEq)]
 pub enum Answer {
     /// What a target made for it.
-    Served(Bytes),
+    Served(Content),
     /// A new try does no harm, after `wait`.
     Refused {
         wait: Duration,
@@ -58,11 +63,11 @@
 }
 
 /// How an attempt ended, and what the target's answer told.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Debug, PartialEq)]
 pub struct Reply {
     pub outcome: Outcome,
     /// Of a served attempt.
-    pub body: Bytes,
+    pub body: Content,
     /// Units served for the volume everywhere in a finished period, as a part of the plan's rate.
     pub used: Option<f64>,
     /// Units that the shard served for the volume through other initiators.
@@ -73,7 +78,7 @@
 impl Reply {
     /// An end without an answer of the target's.
     pub fn bare(outcome: Outcome) -> Reply {
-        Reply { outcome, body: Bytes::new(), used: None, elsewhere: 0.0, load: Load::default() }
+        Reply { outcome, body: Bytes::new().into(), used: None, elsewhere: 0.0, load: Load::default() }
     }
 }
 
@@ -156,6 +161,11 @@
     Status,
     /// Another instance said something.
     Peer(Peer, rowanglade_fleet_state::Message),
+    /// An attempt takes the rest of a long body: it cannot be made again, and lasts as long as its client takes.
+    Begun {
+        id: RequestId,
+        number: Number,
+    },
     Ended {
         id: RequestId,
         number: Number,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,6 +4,7 @@
 mod access_log;
 mod actor;
 mod attempt;
+mod body;
 mod clock;
 mod fleet;
 mod mailbox;
@@ -13,6 +14,7 @@
 pub use access_log::AccessLog;
 pub use actor::{Beside, Core};
 pub use attempt::{Attempt, Connect, Probe, ProbeReport, Report, TargetMessage};
+pub use body::{Content, Download, HELD, Lost, PIECES, Taken, Upload};
 pub use clock::{Clock, micros};
 pub use fleet::{Fleet, Outgoing};
 pub use mailbox::{Handle, Inbox, Pending, Unfit, mailbox};
--- a/src/core/routes.rs
+++ b/src/core/routes.rs
@@ -221,6 +221,7 @@
             hosts: 1,
             length: 0,
             body: Bytes::new(),
+            more: None,
             time_left: Duration::from_secs(1),
         }
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -252,6 +252,8 @@
     Error,
     /// Turned away unseen: it never ran.
     Full,
+    /// Turned away unseen, as over by the node's clock: it never ran, there or elsewhere.
+    Over,
     /// No answer in time: it may have run or still run.
     TimedOut,
     /// No connection: it never ran.
@@ -264,6 +266,18 @@
     NotSent,
 }
 
+impl Outcome {
+    /// Whether it is proven that it never ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::Full | Outcome::Over | Outcome::Unreachable | Outcome::NotSent)
+    }
+
+    /// Whether the request's time is up, by this gateway's clock or the node's.
+    pub fn is_late(self) -> bool {
+        matches!(self, Outcome::TimedOut | Outcome::Over)
+    }
+}
+
 /// What the list says of a node.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum NodeState {
@@ -340,7 +354,8 @@
         elsewhere: f64,
         load: Load,
     },
-    /// A streamed answer has begun: the request's deadline no longer runs.
+    /// A streamed answer has begun, or the rest of a long request is being passed on: the request's deadline no longer
+    /// runs, and the attempt lasts as long as its client takes.
     Started {
         id: RequestId,
         attempt: Attempt,
--- a/src/net/http/clients.rs
+++ b/src/net/http/clients.rs
@@ -11,10 +11,12 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-/// How long a connection may take until it has brought a whole head, and say nothing at all.
-const HEAD: Duration = Duration::from_millis(2_000);
+/// How long a connection may take until it has brought a whole head, and say nothing at all. Clients may take 2 s.
+const HEAD: Duration = Duration::from_millis(2_400);
 /// How long a connection may stand idle between requests; and where too many are idle, for how long it may at least.
 const IDLE: Duration = Duration::from_secs(2);
+/// How long a client may take nothing of what is written to it. A slow one takes a buffer of the system's at a time.
+const UNREAD: Duration = Duration::from_secs(30);
 const BRIEFLY: Duration = Duration::from_millis(200);
 /// Where room is short, silent connections make it once they have stood for this long, then idle ones. Before
 /// that, a request or an answer may just be under way.
@@ -38,6 +40,10 @@
 pub struct Seat {
     phase: Cell<Phase>,
     since: Cell<Instant>,
+    /// When the first byte of the last head came.
+    head: Cell<Instant>,
+    /// Since when the client takes nothing of what is written to it.
+    unread: Cell<Option<Instant>>,
     ended: Cell<bool>,
     waker: RefCell<Option<Waker>>,
 }
@@ -54,6 +60,19 @@
         Busy(Rc::clone(self))
     }
 
+    /// What it is at. Its answer made, a connection is busy until its client has taken what is written to it.
+    fn phase(&self) -> Phase {
+        match self.phase.get() {
+            Phase::Idle if self.unread.get().is_some() => Phase::Busy,
+            phase => phase,
+        }
+    }
+
+    /// For how long its client has been sending a request whose head has just come whole.
+    pub fn sending(&self) -> Duration {
+        self.head.get().elapsed()
+    }
+
     fn end(&self) {
         self.ended.set(true);
         if let Some(waker) = self.waker.take() {
@@ -123,6 +142,8 @@
         let seat = Rc::new(Seat {
             phase: Cell::new(Phase::Silent),
             since: Cell::new(Instant::now()),
+            head: Cell::new(Instant::now()),
+            unread: Cell::new(None),
             ended: Cell::new(false),
             waker: RefCell::default(),
         });
@@ -141,7 +162,10 @@
         let seats = self.0.seats.borrow();
         let live = || seats.values().filter(|s| !s.ended.get());
         for seat in live() {
-            let most = match seat.phase.get() {
+            if seat.unread.get().is_some_and(|since| now.saturating_duration_since(since) >= UNREAD) {
+                seat.end();
+            }
+            let most = match seat.phase() {
                 Phase::Silent | Phase::Head => HEAD,
                 Phase::Idle if !self.0.kept.get() => IDLE,
                 Phase::Idle | Phase::Busy => continue,
@@ -150,7 +174,7 @@
                 seat.end();
             }
         }
-        let mut idle: Vec<&Rc<Seat>> = live().filter(|s| s.phase.get() == Phase::Idle).collect();
+        let mut idle: Vec<&Rc<Seat>> = live().filter(|s| s.phase() == Phase::Idle).collect();
         idle.sort_by_key(|s| s.since.get());
         let spare = if self.0.kept.get() { 0 } else { idle.len().saturating_sub(self.0.most_idle.get()) };
         idle.into_iter().take(spare).filter(|s| lasted(s) >= BRIEFLY).for_each(|s| s.end());
@@ -168,7 +192,7 @@
         Phase::Busy => None,
     };
     let settled = seats.iter().filter(|(_, s)| now.saturating_duration_since(s.since.get()) >= SETTLED);
-    let ranked = settled.filter_map(|(number, s)| Some((rank(s.phase.get())?, s.since.get(), *number)));
+    let ranked = settled.filter_map(|(number, s)| Some((rank(s.phase())?, s.since.get(), *number)));
     ranked.min().map(|(.., number)| number)
 }
 
@@ -239,6 +263,7 @@
         } else if buf.filled().len() > before && matches!(self.seat.phase.get(), Phase::Silent | Phase::Idle)
         {
             self.seat.turn(Phase::Head);
+            self.seat.head.set(self.seat.since.get());
         }
         read
     }
@@ -246,7 +271,18 @@
 
 impl AsyncWrite for Guarded {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        self.write(cx, |stream, cx| stream.poll_write(cx, buf))
+        let written = self.write(cx, |stream, cx| stream.poll_write(cx, buf));
+        match &written {
+            Poll::Pending => self.seat.unread.set(self.seat.unread.get().or(Some(Instant::now()))),
+            Poll::Ready(_) => {
+                self.seat.unread.set(None);
+                // The last bytes of an answer may be taken long after it is made.
+                if self.seat.phase.get() == Phase::Idle {
+                    self.seat.since.set(Instant::now());
+                }
+            }
+        }
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -323,6 +359,34 @@
         });
     }
 
+    // A long answer was cut off: its last bytes waited for a slow client, and the connection counted as idle.
+    #[test]
+    fn a_connection_whose_client_is_slow_to_take_an_answer_is_not_idle() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+        runtime.expect("a runtime").block_on(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+            let clients = Clients::new(1, 9);
+            let (peer, stream) = accepted(&listener).await;
+            let mut slow = clients.seat(stream).expect("room");
+            drop(slow.seat().busy());
+            let mut filled = 0;
+            while let Ok(Ok(written)) =
+                tokio::time::timeout(Duration::from_millis(1), AsyncWriteExt::write(&mut slow, &[0; 1 << 16]))
+                    .await
+            {
+                filled += written;
+            }
+            tokio::time::advance(IDLE).await;
+            clients.sweep();
+            assert!(!slow.seat().ended.get(), "{filled} bytes wait for their client");
+            assert!(clients.seat(accepted(&listener).await.1).is_none(), "it makes no room");
+            tokio::time::advance(UNREAD).await;
+            clients.sweep();
+            assert!(slow.seat().ended.get(), "a client that takes nothing at all");
+            drop(peer);
+        });
+    }
+
     // A crowd of clients that each ask once and stay held all the connections that clients may have.
     #[test]
     fn beyond_their_number_idle_connections_are_closed_soon_the_oldest_first() {
--- a/src/net/http/message.rs
+++ b/src/net/http/message.rs
@@ -1,6 +1,6 @@
 //! The platform's messages: each is decoded once into a value of the core's and encoded once.
 
-use crate::core::{Answer, Order, Origin, Reply, Wire};
+use crate::core::{Answer, Content, Order, Origin, Reply, Wire};
 use crate::interface::{Load, Outcome};
 use actix_http::header::{HOST, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use actix_http::{Method, RequestHead, Response, StatusCode, Uri};
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 /// The most that a body holds.
-pub const LARGEST_BODY: usize = 64 * 1024;
+pub const LARGEST_BODY: u64 = 32 << 20;
 
 const ID: HeaderName = HeaderName::from_static("x-correlation-id");
 const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left-ms");
@@ -94,6 +94,7 @@
         hosts,
         length: 0,
         body: Bytes::new(),
+        more: None,
         time_left: Duration::from_millis(time_left),
     })
 }
@@ -123,9 +124,9 @@
 }
 
 /// The final answer to a client.
-pub fn encode(answer: Answer) -> Response<Bytes> {
+pub fn encode(answer: Answer) -> Response<Content> {
     match answer {
-        Answer::Served(body) => Response::with_body(StatusCode::OK, body),
+        Answer::Served(content) => Response::with_body(StatusCode::OK, content),
         Answer::Refused { wait } => {
             let mut response = status(StatusCode::SERVICE_UNAVAILABLE);
             if !wait.is_zero() {
@@ -141,8 +142,8 @@
 }
 
 /// An answer without a body.
-pub fn status(code: StatusCode) -> Response<Bytes> {
-    Response::with_body(code, Bytes::new())
+pub fn status(code: StatusCode) -> Response<Content> {
+    Response::with_body(code, Bytes::new().into())
 }
 
 /// A request to a target.
@@ -175,17 +176,18 @@
 }
 
 /// What a target's answer says of the outcome, and tells beside it.
-pub fn reply(code: StatusCode, headers: &HeaderMap, body: Bytes) -> Reply {
+pub fn reply(code: StatusCode, headers: &HeaderMap, body: Content) -> Reply {
     let unseen = matches!(code, StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT)
         && text(headers, &NOT_RUN) == Some("1");
     let outcome = match code {
         StatusCode::OK => Outcome::Served,
+        StatusCode::GATEWAY_TIMEOUT if unseen => Outcome::Over,
         _ if unseen => Outcome::Full,
         _ => Outcome::Error,
     };
     Reply {
         outcome,
-        body: if outcome == Outcome::Served { body } else { Bytes::new() },
+        body: if outcome == Outcome::Served { body } else { Bytes::new().into() },
         used: number::<f64>(headers, &USED).filter(likely).map(|u| u / 100.0),
         elsewhere: number::<f64>(headers, &ELSEWHERE).filter(likely).unwrap_or(0.0),
         load: text(headers, &LOAD).map(load).unwrap_or_default(),
--- a/src/net/http/server.rs
+++ b/src/net/http/server.rs
@@ -1,11 +1,13 @@
 //! The front for the platform's clients.
 
-use crate::core::{Answer, Handle};
+use crate::core::{Answer, Content, HELD, Handle, Lost, Upload};
 use crate::net::Phase;
-use crate::net::http::clients::{Clients, Guarded, Seat};
+use crate::net::http::clients::{Busy, Clients, Guarded, Seat};
 use crate::net::http::message::{self, LARGEST_BODY};
+use actix_http::body::{BodySize, MessageBody};
 use actix_http::{
-    ConnectionType, HttpMessage, HttpService, KeepAlive, Method, Request, Response, StatusCode,
+    BoxedPayloadStream, ConnectionType, HttpMessage, HttpService, KeepAlive, Method, Payload, Request,
+    Response, StatusCode, Version,
 };
 use actix_service::{Service, ServiceFactory, fn_service};
 use bytes::{Bytes, BytesMut};
@@ -13,13 +15,22 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::io;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
-/// How long a request's body may take. A half body must not keep its connection for ever.
+/// How long a request's body may take: so long in any case, and a second more for so many bytes. A half body must
+/// not keep its connection for ever.
 const BODY: Duration = Duration::from_secs(2);
+const BYTES_A_SECOND: u64 = 64_000;
+/// What the rest of a long body takes up at most, in the buffers that it passes through.
+const PASSING: usize = 192 * 1024;
+/// An answer's bytes that may wait in its connection's buffer before more are fetched.
+const WRITE_BUFFER: usize = 16 * 1024;
 /// How often connections are looked through for those that have taken too long.
 const SWEEP: Duration = Duration::from_millis(100);
 /// After an answer that comes before the whole of its request, the rest is read away this long: a reset
@@ -52,6 +63,7 @@
         .keep_alive(KeepAlive::Os)
         .client_request_timeout(Duration::ZERO)
         .client_disconnect_timeout(LINGER)
+        .h1_write_buffer_size(WRITE_BUFFER)
         .on_connect_ext(|stream: &Guarded, data| {
             data.insert(Rc::clone(stream.seat()));
         })
@@ -108,8 +120,8 @@
     }
 }
 
-async fn respond(front: Front, mut request: Request) -> Response<Bytes> {
-    let _busy = request.conn_data::<Rc<Seat>>().map(Seat::busy);
+async fn respond(front: Front, mut request: Request) -> Response<Sending> {
+    let busy = request.conn_data::<Rc<Seat>>().map(Seat::busy);
     let mut response = if request.path() == "/up" {
         let up = request.method() == Method::GET && front.core.ready();
         message::status(if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
@@ -119,13 +131,59 @@
     if *front.closing.borrow() || *front.phase.borrow() == Phase::Leaving {
         response.head_mut().set_connection_type(ConnectionType::Close);
     }
-    response
+    if request.version() < Version::HTTP_11 && response.body().size() == BodySize::Stream {
+        // Chunks are not known there: the body ends with the connection.
+        response.head_mut().no_chunking(true);
+        response.head_mut().set_connection_type(ConnectionType::Close);
+    }
+    response.map_body(|_, content| Sending { content, busy })
+}
+
+/// A body on its way to its client, whose connection is busy with it.
+struct Sending {
+    content: Content,
+    #[expect(dead_code, reason = "held for its drop")]
+    busy: Option<Busy>,
+}
+
+impl MessageBody for Content {
+    type Error = io::Error;
+
+    fn size(&self) -> BodySize {
+        match self {
+            Content::Whole(body) => BodySize::Sized(body.len() as u64),
+            Content::Streamed(body) => body.length.map_or(BodySize::Stream, BodySize::Sized),
+        }
+    }
+
+    fn poll_next(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
+        match self.get_mut() {
+            Content::Whole(body) if body.is_empty() => Poll::Ready(None),
+            Content::Whole(body) => Poll::Ready(Some(Ok(std::mem::take(body)))),
+            Content::Streamed(body) => body
+                .pieces
+                .poll_recv(cx)
+                .map(|piece| Some(piece?.map_err(|Lost| io::Error::other("the target's answer broke off")))),
+        }
+    }
+}
+
+impl MessageBody for Sending {
+    type Error = io::Error;
+
+    fn size(&self) -> BodySize {
+        self.content.size()
+    }
+
+    fn poll_next(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
+        Pin::new(&mut self.get_mut().content).poll_next(cx)
+    }
 }
 
-async fn serve_one(front: &Front, request: &mut Request) -> Result<Response<Bytes>, Response<Bytes>> {
+async fn serve_one(front: &Front, request: &mut Request) -> Result<Response<Content>, Response<Content>> {
     let declared = request.headers().get(actix_http::header::CONTENT_LENGTH);
     let declared = declared.and_then(|l| l.to_str().ok()).and_then(|l| l.parse::<u64>().ok());
-    if declared.is_some_and(|length| length > LARGEST_BODY as u64) {
+    if declared.is_some_and(|length| length > LARGEST_BODY) {
         return Err(message::status(StatusCode::PAYLOAD_TOO_LARGE));
     }
     let unfit = |part: &dyn std::fmt::Display| {
@@ -137,8 +195,15 @@
         .map_err(|part| unfit(&part))?;
     front.core.fit(&order).map_err(|part| unfit(&part))?;
     let mut room = Room { left: Rc::clone(&front.body_bytes), taken: 0 };
-    let body = tokio::time::timeout(BODY, read_body(request, &mut room)).await;
-    order.body = body.unwrap_or(Err(message::status(StatusCode::REQUEST_TIMEOUT)))?;
+    let mut coming = Coming { payload: request.take_payload(), begun: Instant::now(), read: 0 };
+    let whole;
+    (order.body, whole) = coming.first(&mut room).await?;
+    if !whole && order.write {
+        if !room.take(PASSING) {
+            return Err(message::encode(Answer::Refused { wait: NO_ROOM_ADVICE }));
+        }
+        order.more = Some(Rc::new(Upload::new(declared, Box::pin(coming.rest(room)))));
+    }
     if !order.write && !order.body.is_empty() {
         return Err(unfit(&"a read with a body"));
     }
@@ -167,18 +232,51 @@
     }
 }
 
-async fn read_body(request: &mut Request, room: &mut Room) -> Result<Bytes, Response<Bytes>> {
-    let mut payload: actix_http::Payload<actix_http::BoxedPayloadStream> = request.take_payload();
-    let mut body = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|_| message::status(StatusCode::BAD_REQUEST))?;
-        if body.len() + chunk.len() > LARGEST_BODY {
+/// A request's body, as it comes.
+struct Coming {
+    payload: Payload<BoxedPayloadStream>,
+    begun: Instant,
+    read: u64,
+}
+
+impl Coming {
+    /// The next piece, unless its client is slower than a client may be.
+    async fn next(&mut self) -> Result<Option<Bytes>, Response<Content>> {
+        let until = self.begun + BODY + Duration::from_secs_f64(self.read as f64 / BYTES_A_SECOND as f64);
+        let piece = tokio::time::timeout_at(until, self.payload.next()).await;
+        let piece = piece.map_err(|_| message::status(StatusCode::REQUEST_TIMEOUT))?;
+        let piece = piece.transpose().map_err(|_| message::status(StatusCode::BAD_REQUEST))?;
+        self.read += piece.as_ref().map_or(0, |p| p.len() as u64);
+        if self.read > LARGEST_BODY {
             return Err(message::status(StatusCode::PAYLOAD_TOO_LARGE));
         }
-        if !room.take(chunk.len()) {
-            return Err(message::encode(Answer::Refused { wait: NO_ROOM_ADVICE }));
+        Ok(piece)
+    }
+
+    /// The body, or the first bytes of a long one; false: there is more.
+    async fn first(&mut self, room: &mut Room) -> Result<(Bytes, bool), Response<Content>> {
+        let mut body = BytesMut::new();
+        while let Some(piece) = self.next().await? {
+            if !room.take(piece.len()) {
+                return Err(message::encode(Answer::Refused { wait: NO_ROOM_ADVICE }));
+            }
+            body.extend_from_slice(&piece);
+            if body.len() > HELD {
+                return Ok((body.freeze(), false));
+            }
         }
-        body.extend_from_slice(&chunk);
+        Ok((body.freeze(), true))
+    }
+
+    /// What comes behind these. Its room is given back with it.
+    fn rest(self, room: Room) -> impl futures_util::Stream<Item = Result<Bytes, Lost>> {
+        futures_util::stream::unfold(Some((self, room)), async |coming| {
+            let (mut coming, room) = coming?;
+            match coming.next().await {
+                Ok(Some(piece)) => Some((Ok(piece), Some((coming, room)))),
+                Ok(None) => None,
+                Err(_) => Some((Err(Lost), None)),
+            }
+        })
     }
-    Ok(body.freeze())
 }
--- a/src/net/http/target.rs
+++ b/src/net/http/target.rs
@@ -1,10 +1,15 @@
 //! The actor of an HTTP target: every attempt is one exchange on a connection of its own.
 
-use crate::core::{Attempt, Listed, Order, Probe, Reply, TargetMessage};
+use crate::core::{
+    Attempt, Content, Download, HELD, Listed, Lost, Order, PIECES, Probe, Reply, Report, Taken,
+    TargetMessage, Upload,
+};
 use crate::interface::Outcome;
 use crate::net::http::message::{self, LARGEST_BODY};
-use actix_http::RequestHead;
-use rowanglade_link::{Answered, Fault, Links};
+use actix_http::header::CONTENT_LENGTH;
+use actix_http::{RequestHead, ResponseHead, StatusCode};
+use bytes::{Bytes, BytesMut};
+use rowanglade_link::{Body, Fault, Link, Links, NoRest, Rest};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -12,11 +17,15 @@
 
 /// Attempts that may wait for the actor's turn. The module's bound on units out keeps far below it.
 const MAILBOX: usize = 256;
+/// A long answer that has begun is its client's: it is given up only after this long without a byte.
+const SILENT: Duration = Duration::from_secs(30);
 
 /// What all targets share.
 #[derive(Clone, Debug)]
 pub struct Pool {
     pub connect_timeout: Duration,
+    /// A short answer that has begun goes on within this time, or it will not be whole.
+    pub stall: Duration,
     pub links: Links,
 }
 
@@ -45,12 +54,12 @@
 
 /// Dropping the exchange closes its connection, which is how an attempt is given up.
 async fn run(pool: Pool, addr: SocketAddr, attempt: Attempt) {
-    let Attempt { order, until, cancel, report } = attempt;
+    let Attempt { order, until, cancel, mut report } = attempt;
     let reply = tokio::select! {
         biased;
-        reply = exchange(&pool, addr, &order, until) => reply,
+        reply = exchange(&pool, addr, &order, until, &mut report) => reply,
         _ = cancel => Reply::bare(Outcome::Cancelled),
-        () = tokio::time::sleep_until(until) => {
+        () = over(&order, until) => {
             // A machine that was cut off leaves its connections open and silent, for good.
             pool.links.forget(addr);
             Reply::bare(Outcome::TimedOut)
@@ -59,42 +68,129 @@
     report.tell(reply);
 }
 
-async fn exchange(pool: &Pool, addr: SocketAddr, order: &Order, until: Instant) -> Reply {
-    let body = order.write.then_some(&order.body);
-    let head = || message::request(order, addr, until);
-    match ask(pool, addr, head, body).await {
-        Ok(answer) => message::reply(answer.status, &answer.headers, answer.body),
-        Err(outcome) => Reply::bare(outcome),
+/// Resolves when an attempt's time is over: once it is, or so long after a long body's last byte.
+async fn over(order: &Order, until: Instant) {
+    match &order.more {
+        None => tokio::time::sleep_until(until).await,
+        Some(upload) => tokio::time::sleep_until(upload.until_whole().await + order.time_left).await,
     }
 }
 
-async fn ask(
+/// The rest of a long body, on its way to the target.
+struct Passing<'a> {
+    rest: Taken<'a>,
+    upload: &'a Upload,
+    report: &'a mut Report,
+}
+
+impl Rest for Passing<'_> {
+    async fn next(&mut self) -> Result<Option<Bytes>, rowanglade_link::Lost> {
+        let piece = self.rest.next().await.map_err(|Lost| rowanglade_link::Lost);
+        if self.upload.begun() {
+            self.report.begun();
+        }
+        piece
+    }
+}
+
+async fn exchange(
     pool: &Pool,
     addr: SocketAddr,
-    head: impl FnOnce() -> RequestHead,
-    body: Option<&bytes::Bytes>,
-) -> Result<Answered, Outcome> {
-    let link = pool.links.take(addr, pool.connect_timeout).await;
-    let mut link = link.map_err(|error| {
+    order: &Order,
+    until: Instant,
+    report: &mut Report,
+) -> Reply {
+    let mut passing = None;
+    if let Some(upload) = &order.more {
+        // Another attempt has had some of it, which is gone.
+        let Some(rest) = upload.take() else { return Reply::bare(Outcome::NotSent) };
+        passing = Some(Passing { rest, upload, report });
+    }
+    let body = order.write.then(|| Body {
+        held: order.body.clone(),
+        rest: passing.as_mut().map(|p| {
+            let length = p.upload.length();
+            (p, length)
+        }),
+    });
+    let answer = async {
+        let mut link = take(pool, addr).await?;
+        let head =
+            link.ask(message::request(order, addr, until), body, LARGEST_BODY).await.map_err(outcome)?;
+        let content = content(pool, link, &head).await?;
+        Ok(message::reply(head.status, &head.headers, content))
+    };
+    answer.await.unwrap_or_else(Reply::bare)
+}
+
+async fn take(pool: &Pool, addr: SocketAddr) -> Result<Link, Outcome> {
+    pool.links.take(addr, pool.connect_timeout).await.map_err(|error| {
         tracing::debug!(%addr, %error, "no connection");
         Outcome::Unreachable
-    })?;
-    match link.exchange(head(), body, LARGEST_BODY).await {
-        Ok(answer) => {
+    })
+}
+
+fn outcome(fault: Fault) -> Outcome {
+    match fault {
+        Fault::NotWritten => Outcome::Unreachable,
+        Fault::Unheard | Fault::Broken => Outcome::Broken,
+    }
+}
+
+/// An answer's body: whole, unless it is long.
+async fn content(pool: &Pool, mut link: Link, head: &ResponseHead) -> Result<Content, Outcome> {
+    let told =
+        head.headers.get(CONTENT_LENGTH).and_then(|l| l.to_str().ok()).and_then(|l| l.trim().parse().ok());
+    let long = told.is_some_and(|length: u64| length > HELD as u64);
+    let mut held = BytesMut::new();
+    loop {
+        let piece = link.piece(Some(pool.stall)).await.map_err(outcome)?;
+        let Some(piece) = piece else {
             pool.links.keep(link);
-            Ok(answer)
+            return Ok(Content::Whole(held.freeze()));
+        };
+        held.extend_from_slice(&piece);
+        if head.status != StatusCode::OK && (long || held.len() > HELD) {
+            // Nobody is served it.
+            return Ok(Content::Whole(Bytes::new()));
+        }
+        if long || held.len() > HELD {
+            let (tx, pieces) = mpsc::channel(PIECES);
+            actix_rt::spawn(pass(pool.links.clone(), link, held.freeze(), tx));
+            return Ok(Content::Streamed(Download { length: told, pieces }));
         }
-        Err(Fault::NotWritten) => Err(Outcome::Unreachable),
-        Err(Fault::Unheard | Fault::Broken) => Err(Outcome::Broken),
+    }
+}
+
+/// Passes a long answer on, no faster than its client takes it. A client that goes takes the connection along.
+async fn pass(links: Links, mut link: Link, first: Bytes, to: mpsc::Sender<Result<Bytes, Lost>>) {
+    let mut piece = Ok(Some(first));
+    while let Ok(Some(bytes)) = piece {
+        if to.send(Ok(bytes)).await.is_err() {
+            return;
+        }
+        piece = tokio::select! {
+            piece = link.piece(Some(SILENT)) => piece,
+            () = to.closed() => return,
+        };
+    }
+    match piece {
+        Ok(_) => links.keep(link),
+        Err(_) => drop(to.send(Err(Lost)).await),
     }
 }
 
 /// A shallow probe.
 async fn check(pool: Pool, addr: SocketAddr, probe: Probe) {
-    let asked = ask(&pool, addr, || message::probe(addr), None);
+    let asked = async {
+        let mut link = take(&pool, addr).await?;
+        let head: RequestHead = message::probe(addr);
+        let head = link.ask(head, None::<Body<'_, NoRest>>, HELD as u64).await.map_err(outcome)?;
+        let content = content(&pool, link, &head).await?;
+        Ok(message::reply(head.status, &head.headers, content))
+    };
     let reply = match tokio::time::timeout_at(probe.until, asked).await {
-        Ok(Ok(answer)) => message::reply(answer.status, &answer.headers, answer.body),
-        Ok(Err(outcome)) => Reply::bare(outcome),
+        Ok(reply) => reply.unwrap_or_else(Reply::bare),
         Err(_) => Reply::bare(Outcome::TimedOut),
     };
     probe.report.tell(reply.outcome, reply.load);
--- a/src/net/iscsi/front.rs
+++ b/src/net/iscsi/front.rs
@@ -1,6 +1,6 @@
 //! Sessions that come in: this side is the target.
 
-use crate::core::{Answer, Handle, Order, Origin, Unfit, Wire};
+use crate::core::{Answer, Content, Handle, Order, Origin, Unfit, Wire};
 use crate::net::Phase;
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
@@ -381,6 +381,7 @@
             write: command.write,
             volume: lun,
             piece: command.address,
+            more: None,
             locator: format!("/{class}/{lun:016x}/{:016x}", command.address),
             repeat_key: command.write.then(|| id.clone()),
             id,
@@ -408,7 +409,8 @@
         match answer {
             Answer::Refused { wait } => self.status(itt, scsi::BUSY, wait, None).await,
             Answer::Failed => self.check(itt, scsi::NO_ANSWER).await,
-            Answer::Served(body) => {
+            Answer::Served(Content::Streamed(_)) => self.check(itt, scsi::NO_ANSWER).await,
+            Answer::Served(Content::Whole(body)) => {
                 let Some(expected) = expected else {
                     return self.status(itt, scsi::GOOD, Duration::ZERO, None).await;
                 };
--- a/src/net/iscsi/session.rs
+++ b/src/net/iscsi/session.rs
@@ -289,6 +289,11 @@
 
     async fn command(&mut self, attempt: Attempt) -> io::Result<()> {
         let Attempt { order, until, mut cancel, report } = attempt;
+        if order.more.is_some() {
+            // A write of blocks holds all its data.
+            report.tell(Reply::bare(Outcome::NotSent));
+            return Ok(());
+        }
         if cancel.try_recv() != Err(oneshot::error::TryRecvError::Empty) {
             // Given up while the session came up: nothing is sent for a request that is over.
             report.tell(Reply::bare(Outcome::NotSent));
@@ -455,7 +460,7 @@
             _ => Outcome::Error,
         };
         let body = if outcome == Outcome::Served { task.read.freeze() } else { Bytes::new() };
-        report.tell(Reply { body, ..Reply::bare(outcome) });
+        report.tell(Reply { body: body.into(), ..Reply::bare(outcome) });
     }
 }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -277,7 +277,7 @@
             budget.share(welcome.share.descriptors);
         }
         let connect_timeout = config.settings.connect_timeout();
-        let pool = http::Pool { connect_timeout, links };
+        let pool = http::Pool { connect_timeout, stall, links };
         let access_log = config.access_log.as_ref().map(|c| AccessLog::open(&c.path, c.queue)).transpose()?;
         let (inbox, core) = core::mailbox(&config.settings, access_log.clone());
         let figures = iscsi.as_ref().map(|(_, iscsi)| figures(iscsi, &config.settings));
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -168,6 +168,15 @@
     failing: u32,              // turned away or unreachable since it last served
 }
 
+impl Node {
+    /// An attempt takes up none of its room any more.
+    fn free(&mut self, out: (Micros, RequestId, u32), units: f64) {
+        if self.out.remove(&out).is_some() {
+            self.out_units = if self.out.is_empty() { 0.0 } else { self.out_units - units };
+        }
+    }
+}
+
 #[derive(Default)]
 pub struct Gateway {
     s: Settings,
@@ -221,9 +230,14 @@
                 self.use_told(now, id, outcome, used, elsewhere);
                 self.outcome(now, id, (attempt, outcome, took, over), act);
             }
-            Event::Started { id, .. } => {
-                self.requests.entry(id).and_modify(|h| h.started = true);
+            Event::Started { id, attempt } => {
                 self.deadlines.retain(|(_, open)| *open != id);
+                if let Some(h) = self.requests.get_mut(&id) {
+                    h.started = true;
+                    let tries = h.tries.get(attempt.0 as usize);
+                    let at = tries.and_then(|t| Some((t.sent, self.nodes.get_mut(&t.node)?)));
+                    at.into_iter().for_each(|(sent, n)| n.free((sent, id, attempt.0), h.units));
+                }
             }
             Event::Withdrawn { id } => {
                 // Nobody waits for it: where the node can drop waiting work, it should.
@@ -235,27 +249,19 @@
                 self.end(id);
             }
             Event::List { kind, entries } => self.list(now, kind, &entries, act),
-            Event::Reach { reach, nodes: Some(nodes) } => {
-                self.reaches.insert(reach, nodes);
-            }
-            Event::Reach { reach, nodes: None } => {
-                self.reaches.remove(&reach);
-            }
+            Event::Reach { reach, nodes: Some(nodes) } => drop(self.reaches.insert(reach, nodes)),
+            Event::Reach { reach, nodes: None } => drop(self.reaches.remove(&reach)),
             Event::Spare { volume, most } => {
                 let units = self.spare(now, volume, most);
                 act.push(Action::Spared { volume, units });
             }
             Event::Units { volume, units } => {
                 if let Some((left, _)) = self.store(now, volume) {
-                    // Whoever reads it reads no more than the store holds.
-                    self.limits.insert(volume, (left + units.max(0.0), now));
+                    self.limits.insert(volume, (left + units.max(0.0), now)); // read up to the cap
                 }
             }
             Event::Probed { .. } => {}
-            Event::Handed(handed) => {
-                self.handed = handed;
-                self.tick(now, act);
-            }
+            Event::Handed(handed) => self.handed = handed,
             Event::Wake { token } => {
                 if self.wake_at == Some(token) {
                     self.wake_at = None;
@@ -633,14 +639,12 @@
     /// This gateway's part of what its volume's limit has left, what a request lacks of it, and for how long.
     fn limit(&self, now: Micros, h: &Held) -> Option<(f64, f64, Micros)> {
         let l = self.s.plans[h.plan?.0 as usize].limit?;
-        if self.handed {
-            return Some((0.0, h.units, NEVER));
-        }
+        let part = if self.handed { 0.0 } else { 1.0 / h.gateways };
         let (left, at) = self.limits.get(&h.volume).copied().unwrap_or((0.0, self.born.unwrap_or(now)));
-        let filled = now.saturating_sub(at) as f64 / 1e6 * l.rate / h.gateways;
-        let left = (left + filled).min(l.burst / h.gateways);
-        let lacking = h.units - left - l.slack / h.gateways;
-        Some((left, lacking, (lacking.max(0.0) / l.rate * h.gateways * 1e6).min(NEVER as f64) as Micros))
+        let filled = now.saturating_sub(at) as f64 / 1e6 * l.rate * part;
+        let left = (left + filled).min(l.burst * part);
+        let lacking = h.units - left - l.slack * part;
+        Some((left, lacking, (lacking.max(0.0) / (l.rate * part) * 1e6).min(NEVER as f64) as Micros))
     }
 
     /// What this gateway's store of a volume holds, and at most; none where no request of it came.
@@ -742,7 +746,7 @@
         let (attempt, outcome, took, over) = end;
         let Some(h) = self.requests.get_mut(&id) else { return };
         let Some(t) = h.tries.get_mut(attempt.0 as usize).filter(|t| t.ran == Ran::Out) else { return };
-        let never = matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::NotSent);
+        let never = outcome.never_ran();
         t.ran = if never { Ran::Never } else { Ran::Maybe };
         let (node, sent, predicted, units, class) = (t.node, t.sent, t.predicted, h.units, h.class);
         let lost = t.lost;
@@ -756,9 +760,7 @@
         let was = if self.nodes.contains_key(&node) { self.learned(now, node) } else { (0.0, 0.0) };
         let fade = self.known(now, self.all.heard);
         if let Some(n) = self.nodes.get_mut(&node) {
-            if n.out.remove(&(sent, id, attempt.0)).is_some() {
-                n.out_units = if n.out.is_empty() { 0.0 } else { n.out_units - units };
-            }
+            n.free((sent, id, attempt.0), units);
             if !matches!(outcome, Outcome::TimedOut | Outcome::Cancelled | Outcome::NotSent) {
                 n.answered = now;
             }
@@ -807,7 +809,7 @@
             self.end(id);
         } else {
             let h = &self.requests[&id];
-            let spent = h.tries.len() as u32 >= self.s.rules.attempts || outcome == Outcome::TimedOut;
+            let spent = h.tries.len() as u32 >= self.s.rules.attempts || outcome.is_late();
             let spent = spent || now + ANSWER_EARLY >= h.deadline || !self.may_repeat(now, h, node);
             let settled = h.over || h.started || h.waiting;
             if spent && !settled {
@@ -908,10 +910,8 @@
             self.answer(now, id, act);
         }
         // Given up at once: what waited unsent for too long, and what its limit keeps too long.
-        let node = |h: &Held| h.shard.and_then(|s| self.node_of(s, h.reach)).filter(|_| self.handed);
-        let cold = |h: &Held| node(h).is_some_and(|n| self.cold_until(now, n, h, 0.0) >= h.deadline);
         let kept = |h: &Held| self.limit(now, h).is_some_and(|(.., fill)| now + fill >= h.deadline);
-        let late = |h: &Held| kept(h) || cold(h) || h.patience < now;
+        let late = |h: &Held| kept(h) || h.patience < now;
         let lost = |(_, h): &(_, &Held)| h.waiting && h.tries.is_empty() && late(h);
         let lost: Vec<_> = self.requests.iter().filter(lost).map(|(id, _)| *id).collect();
         lost.into_iter().for_each(|id| self.answer(now, id, act));
--- a/tests/network/main.rs
+++ b/tests/network/main.rs
@@ -1,6 +1,7 @@
 //! The fronts and the targets over loopback sockets, against peers that misbehave on command.
 
 mod admin;
+mod bodies;
 mod fleet;
 mod http;
 mod iscsi;
