Test replacing the process with two nodes and with others that speak its words badly

The hard cases: a successor of another version, a torn message, two at once, a death with everything in hand, a predecessor that dies half way, stale sockets, calls to either process, a second upgrade right after the first, and a limited volume counted at the box across the overlap.

--- a/src/upgrade/mod.rs
+++ b/src/upgrade/mod.rs
@@ -5,7 +5,7 @@
 mod wire;
 
 pub use keeper::{Begun, Controls, Keeper, Listeners};
-pub use wire::{Given, Share, Welcome};
+pub use wire::{Given, Message, Share, Welcome, send};
 
 use std::fs::File;
 use std::io;
--- a/tests/network/main.rs
+++ b/tests/network/main.rs
@@ -8,3 +8,4 @@
 mod replay;
 mod routes;
 mod site;
+mod upgrade;
--- a/tests/network/site.rs
+++ b/tests/network/site.rs
@@ -30,7 +30,7 @@
     start_with(lines, discovery, iscsi, |_| {}).await
 }
 
-/// The same, with a configuration that was changed.
+/// The same, with a configuration that was changed. A `folder` in it is where processes meet.
 pub async fn start_with(
     lines: &[String],
     discovery: Option<SocketAddr>,
@@ -56,7 +56,11 @@
     let (config, operator) = (dir.join("config.json"), dir.join("operator.toml"));
     std::fs::write(&config, json.to_string()).expect("written");
     std::fs::write(&operator, iscsi.unwrap_or_default()).expect("written");
-    let env = |name: &str| (name == "LB_CONFIG").then(|| config.display().to_string());
+    let env = |name: &str| match name {
+        "LB_CONFIG" => Some(config.display().to_string()),
+        "TMPDIR" => json["folder"].as_str().map(str::to_string),
+        _ => None,
+    };
     let config = Config::load(env, &[operator]).expect("usable");
     std::fs::remove_dir_all(&dir).expect("removed");
     let node = Node::start(config).await.expect("it starts");
--- /dev/null
+++ b/tests/network/upgrade.rs
@@ -0,0 +1,301 @@
+//! A process that replaces another: two nodes, or a node and somebody who speaks the handover's words badly.
+
+use crate::site::*;
+use rowanglade_handover::{VERSION, Word};
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpStream, UnixStream};
+
+/// A folder of a test's own, removed at its end.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new() -> Folder {
+        let unique = format!("rowanglade-up-{}-{:?}", std::process::id(), std::thread::current().id());
+        let path = std::env::temp_dir().join(unique.replace(['(', ')'], ""));
+        std::fs::create_dir_all(&path).expect("a folder");
+        Folder(path)
+    }
+
+    fn socket(&self) -> PathBuf {
+        self.0.join("rowanglade-n1.sock")
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// A process that can be replaced, or that replaces the one that serves. `listen`: where it would listen by itself.
+async fn process(folder: &Path, lines: &[String], listen: Option<SocketAddr>) -> Running {
+    start_with(lines, None, None, |json| {
+        json["admin"] = "127.0.0.1:0".into();
+        json["folder"] = folder.display().to_string().into();
+        if let Some(listen) = listen {
+            json["listen"] = listen.to_string().into();
+        }
+    })
+    .await
+}
+
+async fn call(node: &Running, call: &str) -> String {
+    let admin = node.admin.expect("operators can call");
+    ask(admin, &format!("{call} HTTP/1.1\r\nHost: x\r\n\r\n")).await
+}
+
+async fn healthy(node: &Running) {
+    while call(node, "GET /healthcheck").await != "200 close" {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+/// Somebody on the handover's socket.
+struct Other(UnixStream);
+
+impl Other {
+    async fn meet(folder: &Folder) -> Other {
+        Other(UnixStream::connect(folder.socket()).await.expect("somebody serves"))
+    }
+
+    async fn say(&mut self, message: Value) {
+        let text = message.to_string();
+        self.0.write_u32(text.len() as u32).await.expect("written");
+        self.0.write_all(text.as_bytes()).await.expect("written");
+    }
+
+    async fn hello(&mut self, version: u32) {
+        self.say(json!({"word": Word::Hello { version }})).await;
+    }
+
+    /// The next message with a word; None: the link has ended.
+    async fn hear(&mut self) -> Option<Value> {
+        loop {
+            let length = self.0.read_u32().await.ok()?;
+            let mut text = vec![0; length as usize];
+            self.0.read_exact(&mut text).await.ok()?;
+            let message: Value = serde_json::from_slice(&text).expect("JSON");
+            if !message["word"].is_null() {
+                return Some(message["word"].clone());
+            }
+        }
+    }
+}
+
+// The second process could not listen and ended. It takes the listener and all that is owned over; connections that are
+// open are served on by the first, one request each, and operators' calls hold on both sides.
+#[test]
+fn a_successor_takes_over_and_no_connection_is_turned_back() {
+    story(async {
+        let folder = Folder::new();
+        let target = peer((0..9).map(|i| ok(&i.to_string())).collect()).await;
+        let lines = [line(target.addr, 0, "active"), line(target.addr, 1, "active")];
+        let first = process(&folder.0, &lines, None).await;
+        healthy(&first).await;
+        let mut open = TcpStream::connect(first.http).await.expect("connected");
+        assert_eq!(ask_on(&mut open, &request("view", "u1", 0, "")).await, "200 0");
+        assert_eq!(call(&first, "PUT /targets/s-1/maint").await, "200 close");
+
+        let second = process(&folder.0, &lines, Some(first.http)).await;
+        healthy(&second).await;
+        assert_eq!(second.http, first.http, "one listener");
+        assert_eq!(call(&first, "GET /healthcheck").await, "503 close");
+        assert_eq!(ask_on(&mut open, &request("view", "u2", 0, "")).await, "200 close 1");
+        assert_eq!(ask(second.http, &request("view", "u3", 0, "")).await, "200 2");
+        assert_eq!(
+            ask(second.http, &request("view", "u4", 1, "")).await,
+            "503 retry-after",
+            "out over the upgrade"
+        );
+        first.end.send(()).expect("it runs");
+        first.run.await.expect("it ends").expect("in order");
+        assert_eq!(ask(second.http, &request("view", "u5", 0, "")).await, "200 3");
+        assert_eq!(call(&second, "PUT /targets/s-1/ready").await, "200 close");
+        assert_eq!(ask(second.http, &request("view", "u6", 1, "")).await, "200 4");
+
+        // A second upgrade, right after the first.
+        let third = process(&folder.0, &lines, Some(second.http)).await;
+        healthy(&third).await;
+        assert_eq!(ask(third.http, &request("view", "u7", 0, "")).await, "200 5");
+    });
+}
+
+// A target that operators call out while both processes live must be left by both.
+#[test]
+fn calls_to_either_process_hold_in_both() {
+    story(async {
+        let folder = Folder::new();
+        let target = peer(vec![ok("served")]).await;
+        let lines = [line(target.addr, 0, "active"), line(target.addr, 1, "active")];
+        let first = process(&folder.0, &lines, None).await;
+        healthy(&first).await;
+        let open = async || {
+            let mut stream = TcpStream::connect(first.http).await.expect("connected");
+            assert_eq!(ask_on(&mut stream, "GET /up HTTP/1.1\r\nHost: x\r\n\r\n").await, "200");
+            stream
+        };
+        let (mut a, mut b) = (open().await, open().await);
+        let second = process(&folder.0, &lines, None).await;
+        healthy(&second).await;
+        assert_eq!(call(&second, "PUT /targets/s-0/maint").await, "200 close");
+        assert_eq!(call(&first, "PUT /targets/s-1/maint").await, "200 close");
+        for (stream, id, shard) in [(&mut a, "b1", 0), (&mut b, "b2", 1)] {
+            assert_eq!(ask_on(stream, &request("view", id, shard, "")).await, "503 close retry-after");
+        }
+        for (id, shard) in [("b3", 0), ("b4", 1)] {
+            assert_eq!(ask(second.http, &request("view", id, shard, "")).await, "503 retry-after");
+        }
+    });
+}
+
+// What a successor says is not to be trusted to come whole: whatever it does before it has taken over, the process
+// that serves goes on with all that it owns.
+#[test]
+fn a_successor_that_fails_leaves_the_predecessor_serving() {
+    story(async {
+        let folder = Folder::new();
+        let target = peer((0..9).map(|i| ok(&i.to_string())).collect()).await;
+        let lines = [line(target.addr, 0, "active")];
+        let first = process(&folder.0, &lines, None).await;
+        healthy(&first).await;
+        let served = async |id: &str, body: &str| {
+            assert_eq!(ask(first.http, &request("view", id, 0, "")).await, format!("200 {body}"));
+        };
+
+        let mut other = Other::meet(&folder).await;
+        other.hello(VERSION + 1).await;
+        assert_eq!(other.hear().await, Some(json!({"refuse": {"version": VERSION}})), "another version");
+        assert_eq!(other.hear().await, None);
+        served("x1", "0").await;
+
+        let mut torn = Other::meet(&folder).await;
+        torn.0.write_all(b"\xff\xff\xff\xffnoise").await.expect("written");
+        assert_eq!(torn.hear().await, None, "noise");
+        served("x2", "1").await;
+
+        let mut other = Other::meet(&folder).await;
+        other.hello(VERSION).await;
+        assert_eq!(other.hear().await, Some(json!("welcome")));
+        let mut second = Other::meet(&folder).await;
+        second.hello(VERSION).await;
+        assert_eq!(second.hear().await, Some(json!("busy")), "one successor at a time");
+        served("x3", "2").await;
+        other.say(json!({"word": "ready"})).await;
+        assert_eq!(other.hear().await, Some(json!("given")));
+        assert_eq!(call(&first, "GET /healthcheck").await, "503 close", "all is on its way");
+        // It dies with all of it in its hands.
+        drop(other);
+        healthy(&first).await;
+        served("x4", "3").await;
+    });
+}
+
+// The predecessor dies half way. Its listener lives on in the successor, which serves alone, from nothing.
+#[test]
+fn a_predecessor_that_dies_half_way_leaves_its_listener_to_the_successor() {
+    story(async {
+        let folder = Folder::new();
+        let target = peer(vec![ok("served")]).await;
+        let lines = [line(target.addr, 0, "active")];
+        // The lock is taken by whoever serves.
+        let lock = std::fs::File::create(folder.0.join("rowanglade-n1.lock")).expect("a file");
+        lock.lock().expect("free");
+        let door = tokio::net::UnixListener::bind(folder.socket()).expect("bound");
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bound");
+        let addr = listener.local_addr().expect("bound");
+        let dies = async {
+            let (stream, _) = door.accept().await.expect("the successor");
+            let mut other = Other(stream);
+            assert_eq!(other.hear().await, Some(json!({"hello": {"version": VERSION}})));
+            let known: Value = serde_json::from_str(&lines[0]).expect("JSON");
+            let list = json!({"version": 0, "full": true, "servers": [known]});
+            let welcome =
+                json!({"now": 1_700_000_000_000_000u64, "list": list, "share": {}, "listeners": ["http"]});
+            let message =
+                serde_json::from_value(json!({"word": "welcome", "welcome": welcome})).expect("one");
+            let fd = std::os::fd::OwnedFd::from(listener);
+            rowanglade::upgrade::send(&other.0, &message, &[fd]).await.expect("sent");
+            other
+        };
+        let (other, second) = tokio::join!(dies, process(&folder.0, &lines, Some(addr)));
+        // A client comes to the listener before anybody accepts it.
+        let mut early = TcpStream::connect(addr).await.expect("in the backlog");
+        assert_eq!(call(&second, "GET /healthcheck").await, "503 close");
+        drop(other);
+        drop(door);
+        lock.unlock().expect("held");
+        healthy(&second).await;
+        assert_eq!(ask_on(&mut early, "GET /up HTTP/1.1\r\nHost: x\r\n\r\n").await, "200");
+    });
+}
+
+// Where nobody is found, only what a dead process has left, the start is an ordinary one.
+#[test]
+fn a_stale_socket_or_a_file_in_its_place_does_not_hinder_a_start() {
+    story(async {
+        let folder = Folder::new();
+        let target = peer(vec![]).await;
+        let lines = [line(target.addr, 0, "active")];
+        drop(tokio::net::UnixListener::bind(folder.socket()).expect("bound"));
+        let first = process(&folder.0, &lines, None).await;
+        healthy(&first).await;
+        let folder = Folder(folder.0.join("another"));
+        std::fs::create_dir_all(&folder.0).expect("a folder");
+        std::fs::write(folder.socket(), "a file").expect("written");
+        healthy(&process(&folder.0, &lines, None).await).await;
+    });
+}
+
+// Units of a limited volume have one owner. Counted at the box, no more came than the limit lets through, though both
+// processes were asked for them all the time.
+#[test]
+fn a_limited_volume_stays_within_its_limit_across_the_overlap() {
+    const RATE: f64 = 32.0;
+    const SLACK: f64 = 5.0;
+    story(async {
+        let folder = Folder::new();
+        let mut target = peer((0..999).map(|_| ok("x")).collect()).await;
+        let lines = [line(target.addr, 0, "active")];
+        let begun = Instant::now();
+        let first = process(&folder.0, &lines, None).await;
+        healthy(&first).await;
+        let http = first.http;
+        let asking = |name: usize| async move {
+            let mut stream: Option<TcpStream> = None;
+            for i in 0.. {
+                let mut open = match stream.take() {
+                    Some(open) => open,
+                    None => TcpStream::connect(http).await.expect("never turned back"),
+                };
+                let ask = request("view", &format!("l{name}-{i}"), 0, "").replace("full", "basic");
+                let answer = ask_on(&mut open, &ask).await;
+                assert!(answer.starts_with("200") || answer.starts_with("503"), "{answer}");
+                if !answer.contains("close") {
+                    stream = Some(open);
+                }
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        let clients: Vec<_> = (0..12).map(|name| actix_rt::spawn(asking(name))).collect();
+        let mut units = 0.0;
+        let mut count = async |most: Duration| {
+            let until = tokio::time::Instant::now() + most;
+            while let Ok(Some(_)) = tokio::time::timeout_at(until, target.seen.recv()).await {
+                units += 2.0;
+                let allowed = RATE * begun.elapsed().as_secs_f64() + SLACK;
+                assert!(units <= allowed, "{units} units where {allowed} are allowed");
+            }
+            units
+        };
+        let before = count(Duration::from_millis(400)).await;
+        let second = process(&folder.0, &lines, None).await;
+        healthy(&second).await;
+        let after = count(Duration::from_millis(400)).await;
+        assert!(after > before + 0.5 * RATE * 0.4, "the successor goes on where the predecessor was");
+        clients.iter().for_each(|c| c.abort());
+    });
+}
