--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,6 +7,7 @@
 mod outcome;
 mod replays;
 mod routes;
+mod upgrade;
 mod world;
 
 use lexopt::prelude::*;
@@ -25,7 +26,8 @@
 
 /// All experiments, in the order of `list`.
 fn experiments() -> Vec<Experiment> {
-    [replays::experiments(), capture::experiments(), routes::experiments(), fleet::experiments()].concat()
+    let all = [replays::experiments(), capture::experiments(), routes::experiments(), fleet::experiments()];
+    [all.concat(), upgrade::experiments()].concat()
 }
 
 fn main() -> ExitCode {
--- /dev/null
+++ b/crates/lab/src/upgrade.rs
@@ -0,0 +1,175 @@
+//! The process is replaced under load, twice.
+
+use crate::outcome::{Experiment, Failure, Outcome};
+use crate::world::{self, ZONE, block_on};
+use rowanglade_capture::{Record, TraceWriter};
+use rowanglade_replay::Replay;
+use rowanglade_standin::{BoxPlan, Daemon, Meeting, Signal, Site, Start, settings};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+pub fn experiments() -> Vec<Experiment> {
+    let about =
+        "the process replaced twice under load: requests lost, units over the limit, what both take up";
+    vec![Experiment { name: "replace", about, run: replace }]
+}
+
+const SECONDS: f64 = 12.0;
+/// Units a second and the slack of the plan `basic` in [`rowanglade_standin::settings`].
+const LIMIT: f64 = 32.0;
+const SLACK: f64 = 3.2;
+const SOCKETS: usize = 256;
+
+/// Requests of many volumes without a limit, a write among four, and of one that asks for twice its limit.
+fn make(path: &Path) -> Result<u64, Failure> {
+    let mut writer = TraceWriter::create(path, &world::header())?;
+    let rate = 220.0;
+    for i in 0..(rate * SECONDS) as u64 {
+        let limited = i % 11 < 3;
+        let write = !limited && i % 4 == 0;
+        writer.push(Record {
+            at: (i as f64 / rate * 1e6) as u64,
+            class: u16::from(write),
+            plan: u16::from(!limited),
+            volume: if limited { 7 } else { 100 + i % 50 },
+            piece: i,
+            units: 1.0,
+            shard: Some(u32::from(!limited)),
+            hosts: 1,
+            deadline_ms: if write { 3_000 } else { 1_500 },
+            bytes: 1_000,
+            key: write.then_some(i + 1),
+            status: 200,
+            took: None,
+        })?;
+    }
+    Ok(writer.finish()?)
+}
+
+async fn healthy(admin: SocketAddr) -> Result<(), Failure> {
+    for _ in 0..2_000 {
+        let mut stream = TcpStream::connect(admin).await?;
+        stream.write_all(b"GET /healthcheck HTTP/1.1\r\nHost: x\r\n\r\n").await?;
+        let mut answer = Vec::new();
+        stream.read_to_end(&mut answer).await?;
+        if answer.starts_with(b"HTTP/1.1 200") {
+            return Ok(());
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    Err("it does not get ready".into())
+}
+
+/// Descriptors that a process holds.
+fn descriptors(process: u32) -> usize {
+    std::fs::read_dir(format!("/proc/{process}/fd")).map_or(0, Iterator::count)
+}
+
+/// Bytes of memory that a process holds now.
+fn memory(process: u32) -> u64 {
+    let text = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
+    let held = text.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+    held.and_then(|l| l.trim().split(' ').next()).and_then(|n| n.parse::<u64>().ok()).unwrap_or(0) << 10
+}
+
+fn replace() -> Result<Outcome, Failure> {
+    block_on(async {
+        let folder = tempfile::tempdir()?;
+        let trace = folder.path().join("made.trace");
+        make(&trace)?;
+        let remember = |plan| BoxPlan { remember: true, ..plan };
+        let plans = [remember(world::plan(2, 3, 5)), remember(world::plan(2, 3, 5))];
+        let site = Site::start(&plans, ZONE, 5).await?;
+        let start = |listen: Option<SocketAddr>| -> Result<Daemon, Failure> {
+            Ok(Daemon::start(&Start {
+                name: "lab".into(),
+                program: std::env::current_exe()?,
+                args: vec!["rowanglade".into()],
+                settings: settings(&world::header(), 1, ZONE, 2),
+                discovery: site.discovery.addr(),
+                sockets: SOCKETS,
+                operator: None,
+                meeting: Some(Meeting { folder: folder.path().to_path_buf(), listen }),
+            })?)
+        };
+        let born = tokio::time::Instant::now();
+        let first = start(None)?;
+        let addr = first.http;
+        healthy(first.admin.ok_or("nobody answers operators")?).await?;
+        let processes = Rc::new(RefCell::new(vec![first.process()]));
+        let peak = Rc::new(Cell::new((0, 0)));
+        let watch = {
+            let (processes, peak) = (Rc::clone(&processes), Rc::clone(&peak));
+            actix_rt::spawn(async move {
+                loop {
+                    let all = processes.borrow().clone();
+                    let held = all.iter().map(|p| descriptors(*p)).sum::<usize>();
+                    let bytes = all.iter().map(|p| memory(*p)).sum::<u64>();
+                    let (most, largest) = peak.get();
+                    peak.set((held.max(most), bytes.max(largest)));
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                }
+            })
+        };
+        let replacing = async {
+            let (mut serving, mut took, mut ended) = (first, Vec::new(), 0);
+            for wait in [3.0, 2.0] {
+                tokio::time::sleep(Duration::from_secs_f64(wait)).await;
+                let begun = tokio::time::Instant::now();
+                let next = start(Some(addr))?;
+                processes.borrow_mut().push(next.process());
+                healthy(next.admin.ok_or("nobody answers operators")?).await?;
+                took.push(begun.elapsed().as_secs_f64() * 1e3);
+                serving.signal(Signal::SIGTERM)?;
+                for _ in 0..500 {
+                    if serving.ended() {
+                        ended += 1;
+                        break;
+                    }
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                }
+                processes.borrow_mut().remove(0);
+                serving = next;
+            }
+            Ok::<_, Failure>((took, ended, serving))
+        };
+        let ask = Replay { retries: false, ..Replay::to(vec![addr]) };
+        let (report, replaced) = tokio::join!(world::run(&trace, &ask), replacing);
+        let (report, (took, ended, _serving)) = (report?, replaced?);
+        watch.abort();
+
+        let total = report.total();
+        // Of the limited volume, whose box nobody else uses: the store is empty when the first process starts, so no
+        // more may have come at any time than what has filled it since, and the slack.
+        let seen: Vec<f64> = {
+            let seen = site.boxes[0].seen();
+            seen.iter().map(|(at, _)| at.duration_since(born).as_secs_f64()).collect()
+        };
+        let over = seen.iter().enumerate().map(|(i, at)| (i + 1) as f64 - LIMIT * at - SLACK);
+        let over = over.fold(f64::MIN, f64::max);
+        let (held, bytes) = peak.get();
+        let mut out = Outcome::default();
+        out.figure("requests", total.due as f64, "");
+        out.figure("served", total.served as f64, "");
+        out.figure("refused", total.refused as f64, "");
+        out.figure("failed", total.failed as f64, "");
+        out.figure("lost, or without a connection", (total.lost + total.unsent) as f64, "");
+        out.figure("until the first successor served", took[0], "ms");
+        out.figure("until the second successor served", took[1], "ms");
+        out.figure("limited units at the box a second", seen.len() as f64 / SECONDS, "units/s");
+        out.figure("limited units beyond filling and slack, at worst", over, "units");
+        out.figure("descriptors of both, at most", held as f64, "");
+        out.figure("memory of both, at most", bytes as f64 / 1e6, "MB");
+        out.claim("no request is lost or turned back", total.lost + total.unsent + total.failed == 0);
+        out.claim("no unit beyond the limit reaches the box", over <= 0.0);
+        out.claim("the limit is used across the upgrades", seen.len() as f64 >= 0.9 * LIMIT * SECONDS);
+        out.claim("both together stay within the descriptors of one", held <= SOCKETS);
+        out.claim("both predecessors end by themselves", ended == 2);
+        Ok(out)
+    })
+}
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -139,6 +139,7 @@
             discovery: site.discovery.addr(),
             sockets: 1_024,
             operator: operator(number),
+            meeting: None,
         })?);
     }
     Ok(made)
--- a/crates/standin/src/daemon.rs
+++ b/crates/standin/src/daemon.rs
@@ -75,6 +75,17 @@
     pub sockets: usize,
     /// The text of an operator's file, if there is one.
     pub operator: Option<String>,
+    /// Where it meets a process that it replaces, or that replaces it; it then listens for operators' calls too.
+    pub meeting: Option<Meeting>,
+}
+
+/// Where processes of one daemon meet.
+#[derive(Clone, Debug)]
+pub struct Meeting {
+    /// The `$TMPDIR` of both.
+    pub folder: PathBuf,
+    /// Where the first listens; absent for the first.
+    pub listen: Option<SocketAddr>,
 }
 
 /// A daemon that runs. Dropped, it is killed, and its folder removed.
@@ -85,6 +96,8 @@
     pub http: SocketAddr,
     /// Where sessions connect, if that front is on.
     pub iscsi: Option<SocketAddr>,
+    /// Where operators call, if anywhere.
+    pub admin: Option<SocketAddr>,
     folder: tempfile::TempDir,
     log: Arc<Mutex<VecDeque<String>>>,
 }
@@ -133,20 +146,26 @@
     pub fn start(start: &Start) -> io::Result<Daemon> {
         let folder = tempfile::Builder::new().prefix("rowanglade-").tempdir()?;
         let config = folder.path().join("config.json");
-        let text = json!({
-            "name": start.name, "listen": "127.0.0.1:0", "discovery": start.discovery.to_string(),
+        let listen = start.meeting.as_ref().and_then(|m| m.listen);
+        let listen = listen.map_or("127.0.0.1:0".to_string(), |l| l.to_string());
+        let mut text = json!({
+            "name": start.name, "listen": listen, "discovery": start.discovery.to_string(),
             "seed": "0000000000000005", "limits": {"memory_mb": 192, "sockets": start.sockets},
             "settings": start.settings,
         });
-        std::fs::write(&config, text.to_string())?;
         let mut command = Command::new(&start.program);
+        if let Some(meeting) = &start.meeting {
+            text["admin"] = "127.0.0.1:0".into();
+            command.env("TMPDIR", &meeting.folder);
+        }
+        std::fs::write(&config, text.to_string())?;
         command.args(&start.args).arg("serve");
         if let Some(operator) = &start.operator {
             let path = folder.path().join("operator.toml");
             std::fs::write(&path, operator)?;
             command.arg("--operator").arg(path);
         }
-        for name in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LOG"] {
+        for name in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LB_ADMIN", "LOG"] {
             command.env_remove(name);
         }
         command.env("LB_CONFIG", &config).current_dir(folder.path());
@@ -158,8 +177,8 @@
             std::thread::spawn(move || {
                 for line in BufReader::new(stderr).lines().map_while(Result::ok) {
                     if line.contains("serving") {
-                        let http = told(&line, "listen=").and_then(|a| a.parse().ok());
-                        let _ = tell.send((http, told(&line, "iscsi=").and_then(|a| a.parse().ok())));
+                        let addr = |key| told(&line, key).and_then(|a| a.parse().ok());
+                        let _ = tell.send((addr("listen="), addr("iscsi="), addr("admin=")));
                     }
                     // A thread that panicked while it held the lock left whole lines.
                     let mut log = log.lock().unwrap_or_else(|e| e.into_inner());
@@ -170,13 +189,13 @@
                 }
             });
         }
-        let heard: Result<(Option<SocketAddr>, Option<SocketAddr>), _> = listens.recv_timeout(START);
+        let heard: Result<(Option<SocketAddr>, _, _), _> = listens.recv_timeout(START);
         let lines = || -> String {
             let log = log.lock().unwrap_or_else(|e| e.into_inner());
             log.iter().map(String::as_str).collect::<Vec<_>>().join("\n")
         };
         match heard {
-            Ok((Some(http), iscsi)) => Ok(Daemon { child, http, iscsi, folder, log }),
+            Ok((Some(http), iscsi, admin)) => Ok(Daemon { child, http, iscsi, admin, folder, log }),
             _ => {
                 let _ = child.kill();
                 let _ = child.wait();
@@ -195,6 +214,11 @@
         self.log.lock().unwrap_or_else(|e| e.into_inner()).iter().cloned().collect()
     }
 
+    /// Its number as a process.
+    pub fn process(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn usage(&self) -> Usage {
         Usage::of(&self.child.id().to_string())
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,7 +12,7 @@
 mod keys;
 
 pub use boxes::{BoxPlan, Counters, DiskBox, Fault};
-pub use daemon::{Daemon, Start, Usage, settings};
+pub use daemon::{Daemon, Meeting, Start, Usage, settings};
 pub use discovery::{Discovery, Entry, State};
 pub use keys::{Effect, Rack};
 pub use nix::sys::signal::Signal;
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -27,7 +27,8 @@
        rowanglade version
        rowanglade help [COMMAND]
 
-The configuration comes from LB_CONFIG, a JSON file; LB_NAME, LB_LISTEN and LB_DISCOVERY win over it.
+The configuration comes from LB_CONFIG, a JSON file; LB_NAME, LB_LISTEN, LB_DISCOVERY and LB_ADMIN win over it.
+Operators call at its `admin`; a second process with the same TMPDIR takes over from the one that serves.
 SIGHUP has the files read again: discovery's address and the routes are taken over if every expectation holds, all
 else waits for the next start.
 SIGUSR1 has a line of status logged: what is open, the targets, and the versions of routes in use.
--- a/src/cli/replay.rs
+++ b/src/cli/replay.rs
@@ -197,6 +197,7 @@
         discovery: site.discovery.addr(),
         sockets: 1_024,
         operator: None,
+        meeting: None,
     };
     let daemon = Daemon::start(&start).map_err(Failure::running)?;
     eprintln!("one initiator on {}, 4 stand-in boxes; replaying", daemon.http);
--- a/src/node.rs
+++ b/src/node.rs
@@ -330,7 +330,8 @@
         actix_rt::spawn(directory.run(asked));
         let second = iscsi.as_ref().map(|(listener, _)| listener.local_addr()).transpose()?;
         let second = second.map_or("off".to_string(), |addr| addr.to_string());
-        tracing::info!(name = config.name, listen = %http.local_addr()?, iscsi = second, "serving");
+        let operators = admin.as_ref().map_or("off".to_string(), |admin| admin.addr().to_string());
+        tracing::info!(name = config.name, listen = %http.local_addr()?, iscsi = second, admin = operators, "serving");
         let classes = classes(&config.settings);
         let patience = config.settings.longest_deadline().min(LONGEST) + AFTER - SPARE;
         // Without an older table to keep, one that waits for a box is in force from the start.
--- a/tests/network/routes.rs
+++ b/tests/network/routes.rs
@@ -103,6 +103,7 @@
             discovery: site.discovery.addr(),
             sockets: 256,
             operator: Some(String::new()),
+            meeting: None,
         })
         .expect("it serves");
         let file = |name: &str, zone: &str, undecided: &str| {
