Keep idle connections of clients for long where there is room for them

Ruled out: a crash or an end by signal (no initiator logged one), places running short (68 of 384 descriptors). It bought nothing there. Now idle connections end after 2 s only where more than a quarter of the places is taken, and after 30 s otherwise; where places run short all is as before.

Not taken: half-closing and reading on for a while, since what then comes cannot be answered.

The test fails without it.

--- a/src/net/http/clients.rs
+++ b/src/net/http/clients.rs
@@ -15,6 +15,10 @@
 const HEAD: Duration = Duration::from_millis(2_400);
 /// How long a connection may stand idle between requests; and where too many are idle, for how long it may at least.
 const IDLE: Duration = Duration::from_secs(2);
+/// The same while less than this part of the places is taken. Closing one then buys nothing, and a request may just
+/// be on its way on it.
+const LONG_IDLE: Duration = Duration::from_secs(30);
+const ROOMY_PART: usize = 4;
 /// How long a client may take nothing of what is written to it. A slow one takes a buffer of the system's at a time.
 const UNREAD: Duration = Duration::from_secs(30);
 const BRIEFLY: Duration = Duration::from_millis(200);
@@ -160,6 +164,7 @@
         let now = Instant::now();
         let lasted = |seat: &Seat| now.saturating_duration_since(seat.since.get());
         let seats = self.0.seats.borrow();
+        let idle = if seats.len() <= self.0.most.get() / ROOMY_PART { LONG_IDLE } else { IDLE };
         let live = || seats.values().filter(|s| !s.ended.get());
         for seat in live() {
             if seat.unread.get().is_some_and(|since| now.saturating_duration_since(since) >= UNREAD) {
@@ -167,7 +172,7 @@
             }
             let most = match seat.phase() {
                 Phase::Silent | Phase::Head => HEAD,
-                Phase::Idle if !self.0.kept.get() => IDLE,
+                Phase::Idle if !self.0.kept.get() => idle,
                 Phase::Idle | Phase::Busy => continue,
             };
             if lasted(seat) >= most {
@@ -359,6 +364,35 @@
         });
     }
 
+    // A request came just as its connection was closed for standing idle, which nobody needed to be closed.
+    #[test]
+    fn where_there_is_room_idle_connections_stay_for_long() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+        runtime.expect("a runtime").block_on(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+            let clients = Clients::new(2 * ROOMY_PART, 2 * ROOMY_PART);
+            let mut seats = Vec::new();
+            for open in 1..=3 {
+                let (peer, stream) = accepted(&listener).await;
+                let seat = clients.seat(stream).expect("room");
+                drop(seat.seat().busy());
+                seats.push((peer, seat));
+                tokio::time::advance(IDLE).await;
+                clients.sweep();
+                let ended = seats.iter().any(|(_, s)| s.seat().ended.get());
+                assert_eq!(ended, open > 2, "{open} of {} places", 2 * ROOMY_PART);
+            }
+            seats.truncate(1);
+            let clients = Clients::new(2 * ROOMY_PART, 2 * ROOMY_PART);
+            let (_peer, stream) = accepted(&listener).await;
+            let seat = clients.seat(stream).expect("room");
+            drop(seat.seat().busy());
+            tokio::time::advance(LONG_IDLE).await;
+            clients.sweep();
+            assert!(seat.seat().ended.get(), "not for ever");
+        });
+    }
+
     // A long answer was cut off: its last bytes waited for a slow client, and the connection counted as idle.
     #[test]
     fn a_connection_whose_client_is_slow_to_take_an_answer_is_not_idle() {
