--- a/tests/network/bodies.rs
+++ b/tests/network/bodies.rs
@@ -259,3 +259,54 @@
         }
     });
 }
+
+// Chunk heads, extensions, trailers and line ends, cut in two at every byte, in both directions.
+#[test]
+fn a_cut_at_any_byte_changes_nothing() {
+    story(async {
+        let body = b"0123456789abcdef0123456789";
+        let answer =
+            [&b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"[..], &chunked(body, 16)].concat();
+        let (listener, line) = target().await;
+        let node = start(&[line], None, None).await;
+        let cuts = answer.len();
+        let sent = answer.clone();
+        let expected = body.to_vec();
+        let turn = std::rc::Rc::new(std::cell::Cell::new(0));
+        actix_rt::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let (sent, expected, turn) = (sent.clone(), expected.clone(), std::rc::Rc::clone(&turn));
+                actix_rt::spawn(async move {
+                    stream.set_nodelay(true).expect("set");
+                    while stream.peek(&mut [0; 1]).await.is_ok_and(|read| read > 0) {
+                        head(&mut stream).await;
+                        let mut got = vec![0; expected.len()];
+                        stream.read_exact(&mut got).await.expect("the body");
+                        assert!(got == expected, "passed on as it was sent");
+                        let cut = turn.replace(turn.get() + 1) % sent.len();
+                        stream.write_all(&sent[..cut]).await.expect("written");
+                        tokio::task::yield_now().await;
+                        stream.write_all(&sent[cut..]).await.expect("written");
+                    }
+                });
+            }
+        });
+        let mut client = TcpStream::connect(node.http).await.expect("connected");
+        client.set_nodelay(true).expect("set");
+        let put = request("deposit", "ID", 0, "")
+            .replace("Idempotency", "Transfer-Encoding: chunked\r\nIdempotency");
+        let put = [put.as_bytes(), &chunked(body, 16)].concat();
+        for cut in 0..cuts.max(put.len()) {
+            let text = String::from_utf8(put.clone()).expect("text").replace("ID", &format!("c{cut:04}"));
+            let bytes = text.as_bytes();
+            client.write_all(&bytes[..cut % bytes.len()]).await.expect("written");
+            tokio::task::yield_now().await;
+            client.write_all(&bytes[cut % bytes.len()..]).await.expect("written");
+            assert_eq!(
+                ask_on(&mut client, "").await,
+                format!("200 {}", String::from_utf8_lossy(body)),
+                "{cut}"
+            );
+        }
+    });
+}
