Drop what no code asks of a client's connection: when its last head began

Cause: a probe for the 504s of reads written in pieces needed it; its guess was refuted, and the field and its method stayed behind unused in clients.rs. Change: both are gone.

--- a/src/net/http/clients.rs
+++ b/src/net/http/clients.rs
@@ -44,8 +44,6 @@
 pub struct Seat {
     phase: Cell<Phase>,
     since: Cell<Instant>,
-    /// When the first byte of the last head came.
-    head: Cell<Instant>,
     /// Since when the client takes nothing of what is written to it.
     unread: Cell<Option<Instant>>,
     ended: Cell<bool>,
@@ -72,11 +70,6 @@
         }
     }
 
-    /// For how long its client has been sending a request whose head has just come whole.
-    pub fn sending(&self) -> Duration {
-        self.head.get().elapsed()
-    }
-
     fn end(&self) {
         self.ended.set(true);
         if let Some(waker) = self.waker.take() {
@@ -146,7 +139,6 @@
         let seat = Rc::new(Seat {
             phase: Cell::new(Phase::Silent),
             since: Cell::new(Instant::now()),
-            head: Cell::new(Instant::now()),
             unread: Cell::new(None),
             ended: Cell::new(false),
             waker: RefCell::default(),
@@ -268,7 +260,6 @@
         } else if buf.filled().len() > before && matches!(self.seat.phase.get(), Phase::Silent | Phase::Idle)
         {
             self.seat.turn(Phase::Head);
-            self.seat.head.set(self.seat.since.get());
         }
         read
     }
