Count an answer from its head, pass slow ones on, and ask for objects where they were seen

Every request and answer was logged, each read of a head with its time, and followed by id over the four initiators. Each was called off as silent while its target wrote it slowly (rules.rs, call_off_lost), and the time of its last byte was learned as the node's latency (actor.rs, ended), after which background work waited and was given up unsent: 446 of 1,270 exports.

Design: the head's arrival is told to the core; the module then frees the attempt's room (Event::Started, timed), so that it is not called off, and the node's latency is taken to the head. What comes of an answer later than an eighth of the tightest aim after its head is passed on as it comes. crates/placement, without I/O, keeps which shard a target proved to hold a new object, or one that a target turned away; the core asks it before the module hears of a request. Not taken: a shorter hold for all answers, which would give up second attempts at those that break off at once; trying a 504 at other shards, which multiplies load by guessing; keeping every object served, which evicts the ones that matter.

--- a/src/bin/rowanglade-benchlink/wire.rs
+++ b/src/bin/rowanglade-benchlink/wire.rs
@@ -215,7 +215,9 @@
                 elsewhere: r.others_got.unwrap_or(0.0),
                 load: load(r.metrics, names),
             },
-            Event::FirstByte(f) => api::Event::Started { id: names.request(&f.xid)?, attempt: Attempt(f.go) },
+            Event::FirstByte(f) => {
+                api::Event::Started { id: names.request(&f.xid)?, attempt: Attempt(f.go), timed: false }
+            }
             Event::TickDue(t) => api::Event::Wake { token: t.token },
             Event::Withdrawn(w) => api::Event::Withdrawn { id: names.request(&w.xid)? },
             Event::StatusBack(s) => api::Event::Probed {
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -18,6 +18,7 @@
 use rowanglade_fleet_state::exchange::Milli;
 use rowanglade_fleet_state::{Exchange, Message as PeerMessage, Peer, Store};
 use rowanglade_maintenance::{Maintenance, State};
+use rowanglade_placement::Places;
 use rowanglade_routing::BoxInfo;
 use std::cell::Cell;
 use std::cmp::Reverse;
@@ -34,11 +35,15 @@
 const LONGEST_WAIT: Duration = Duration::from_secs(3_600);
 /// Without an answer of discovery, what is remembered of the list must do after this long.
 const TRUST_MEMORY: Duration = Duration::from_millis(1_500);
+/// Objects whose places are kept in mind: about a megabyte.
+const PLACES: usize = 16_384;
 
 /// An attempt without an outcome.
 struct Out {
     node: NodeId,
     sent: Micros,
+    /// When the head of its answer came.
+    heard: Option<Micros>,
     cancel: oneshot::Sender<()>,
 }
 
@@ -104,6 +109,7 @@
     upgrades: mpsc::Receiver<Upgrade>,
     calls: mpsc::Sender<Call>,
     maintenance: Maintenance,
+    places: Places,
     /// Another process has what is owned here.
     handed: bool,
     /// What the module said last that it can do without.
@@ -169,6 +175,7 @@
             upgrades,
             calls,
             maintenance: Maintenance::default(),
+            places: Places::new(PLACES),
             handed: false,
             spared: 0.0,
         }
@@ -244,7 +251,15 @@
                 if let Some(open) = self.requests.get(&id) {
                     // Its deadline runs from the last byte on, which the attempt itself keeps.
                     self.backstops.remove(&(open.deadline + BACKSTOP, id));
-                    self.feed(Event::Started { id, attempt: number });
+                    self.feed(Event::Started { id, attempt: number, timed: false });
+                }
+            }
+            Message::Heard { id, number } => {
+                let now = self.clock.now();
+                let open = self.requests.get_mut(&id);
+                if let Some(Some(out)) = open.and_then(|o| o.attempts.get_mut(number.0 as usize)) {
+                    out.heard = Some(now);
+                    self.feed(Event::Started { id, attempt: number, timed: true });
                 }
             }
             Message::Ended { id, number, reply } => self.ended(id, number, reply),
@@ -281,7 +296,7 @@
             volume: self.names.volume(&format!("{:016x}", order.volume)),
             key: Some(KeyId(order.piece)),
             units: order.units,
-            shard: order.shard.map(ShardId),
+            shard: self.places.find((order.volume, order.piece), order.shard).map(ShardId),
             gateways: order.hosts,
             deadline,
             reach,
@@ -301,6 +316,12 @@
     fn ended(&mut self, id: RequestId, number: Number, reply: Reply) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some(out) = open.attempts.get_mut(number.0 as usize).and_then(Option::take) else { return };
+        let (object, told) = ((open.order.volume, open.order.piece), open.order.shard);
+        match (self.targets.get(&out.node).map(|t| t.told.shard), reply.outcome) {
+            (Some(shard), Outcome::Served) => self.places.served(object, told, shard),
+            (Some(shard), Outcome::Over) => self.places.turned_away(object, shard),
+            _ => {}
+        }
         let upload = open.order.more.clone();
         let begun = upload.as_ref().is_some_and(|u| u.begun());
         // A long body counts from its last byte.
@@ -319,12 +340,14 @@
             _ => {}
         }
         let over = self.requests.get(&id).is_none_or(|o| o.answer.is_none());
+        // What the answer takes on its way, once it has begun, says nothing of its target.
+        let answered = out.heard.filter(|at| *at >= whole).unwrap_or(self.clock.now());
         self.feed(Event::Outcome {
             id,
             attempt: number,
             node: out.node,
             outcome: reply.outcome,
-            took: self.clock.now().saturating_sub(out.sent.max(whole)),
+            took: answered.saturating_sub(out.sent.max(whole)),
             over,
             used: reply.used,
             elsewhere: reply.elsewhere,
@@ -639,18 +662,18 @@
         let number = Number(open.attempts.len() as u32);
         let until = open.deadline.min(timeout.map_or(Micros::MAX, |t| now.saturating_add(t)));
         let (cancel, canceled) = oneshot::channel();
-        open.attempts.push(Some(Out { node, sent: now, cancel }));
+        open.attempts.push(Some(Out { node, sent: now, heard: None, cancel }));
         // Without a place for its end, or a target that takes it, the attempt never was.
         let sent = open.answer.is_some()
             && self.targets.get(&node).is_some_and(|target| {
                 let reserve = || self.tx.upgrade().and_then(|tx| tx.try_reserve_owned().ok());
-                let begun = open.order.more.as_ref().and_then(|_| reserve());
                 reserve().is_some_and(|place| {
+                    let begun = open.order.more.as_ref().and_then(|_| reserve());
                     let attempt = Attempt {
                         order: Rc::clone(&open.order),
                         until: self.clock.instant(until),
                         cancel: canceled,
-                        report: Report::new(id, number, place, begun),
+                        report: Report::new(id, number, place, begun, reserve()),
                     };
                     match target.mailbox.try_send(TargetMessage::Attempt(attempt)) {
                         Ok(()) => true,
--- a/src/core/attempt.rs
+++ b/src/core/attempt.rs
@@ -3,6 +3,7 @@
 use crate::core::clock::Clock;
 use crate::core::message::{Listed, Message, Order, Reply};
 use crate::interface::{Attempt as Number, Load, Micros, NodeId, Outcome, RequestId};
+use std::cell::RefCell;
 use std::rc::Rc;
 use tokio::sync::mpsc::{self, OwnedPermit};
 use tokio::sync::oneshot;
@@ -43,7 +44,9 @@
 pub struct Report {
     to: Option<(RequestId, Number, OwnedPermit<Message>)>,
     /// Of a long body: the place for the news that its rest is being taken.
-    begun: Option<OwnedPermit<Message>>,
+    begun: RefCell<Option<OwnedPermit<Message>>>,
+    /// The place for the news that an answer's head has come. Without one the core takes its end for that.
+    heard: RefCell<Option<OwnedPermit<Message>>>,
 }
 
 impl Report {
@@ -52,12 +55,20 @@
         number: Number,
         place: OwnedPermit<Message>,
         begun: Option<OwnedPermit<Message>>,
+        heard: Option<OwnedPermit<Message>>,
     ) -> Report {
-        Report { to: Some((id, number, place)), begun }
+        Report { to: Some((id, number, place)), begun: RefCell::new(begun), heard: RefCell::new(heard) }
+    }
+
+    /// The head of an answer has come.
+    pub fn heard(&self) {
+        if let (Some((id, number, _)), Some(place)) = (&self.to, self.heard.take()) {
+            place.send(Message::Heard { id: *id, number: *number });
+        }
     }
 
     /// The rest of a long body is being taken.
-    pub fn begun(&mut self) {
+    pub fn begun(&self) {
         if let (Some((id, number, _)), Some(place)) = (&self.to, self.begun.take()) {
             place.send(Message::Begun { id: *id, number: *number });
         }
--- a/src/core/message.rs
+++ b/src/core/message.rs
@@ -166,6 +166,11 @@
         id: RequestId,
         number: Number,
     },
+    /// The head of an attempt's answer has come.
+    Heard {
+        id: RequestId,
+        number: Number,
+    },
     Ended {
         id: RequestId,
         number: Number,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -354,11 +354,13 @@
         elsewhere: f64,
         load: Load,
     },
-    /// A streamed answer has begun, or the rest of a long request is being passed on: the request's deadline no longer
-    /// runs, and the attempt lasts as long as its client takes.
+    /// An answer has begun, or the rest of a long request is being passed on: the attempt takes up no room at its node
+    /// any more. Unless it is still timed, the request's deadline no longer runs either, and the attempt lasts as long
+    /// as its client takes.
     Started {
         id: RequestId,
         attempt: Attempt,
+        timed: bool,
     },
     /// The client went away: the request is over.
     Withdrawn {
--- a/src/net/http/target.rs
+++ b/src/net/http/target.rs
@@ -26,6 +26,8 @@
     pub connect_timeout: Duration,
     /// A short answer that has begun goes on within this time, or it will not be whole.
     pub stall: Duration,
+    /// What of an answer comes later than this after its head is passed on as it comes, not held.
+    pub hold: Duration,
     pub links: Links,
 }
 
@@ -54,10 +56,10 @@
 
 /// Dropping the exchange closes its connection, which is how an attempt is given up.
 async fn run(pool: Pool, addr: SocketAddr, attempt: Attempt) {
-    let Attempt { order, until, cancel, mut report } = attempt;
+    let Attempt { order, until, cancel, report } = attempt;
     let reply = tokio::select! {
         biased;
-        reply = exchange(&pool, addr, &order, until, &mut report) => reply,
+        reply = exchange(&pool, addr, &order, until, &report) => reply,
         _ = cancel => Reply::bare(Outcome::Cancelled),
         () = over(&order, until) => {
             // A machine that was cut off leaves its connections open and silent, for good.
@@ -80,7 +82,7 @@
 struct Passing<'a> {
     rest: Taken<'a>,
     upload: &'a Upload,
-    report: &'a mut Report,
+    report: &'a Report,
 }
 
 impl Rest for Passing<'_> {
@@ -93,13 +95,7 @@
     }
 }
 
-async fn exchange(
-    pool: &Pool,
-    addr: SocketAddr,
-    order: &Order,
-    until: Instant,
-    report: &mut Report,
-) -> Reply {
+async fn exchange(pool: &Pool, addr: SocketAddr, order: &Order, until: Instant, report: &Report) -> Reply {
     let mut passing = None;
     if let Some(upload) = &order.more {
         // Another attempt has had some of it, which is gone.
@@ -117,6 +113,7 @@
         let mut link = take(pool, addr).await?;
         let head =
             link.ask(message::request(order, addr, until), body, LARGEST_BODY).await.map_err(outcome)?;
+        report.heard();
         let content = content(pool, link, &head).await?;
         Ok(message::reply(head.status, &head.headers, content))
     };
@@ -143,25 +140,33 @@
         head.headers.get(CONTENT_LENGTH).and_then(|l| l.to_str().ok()).and_then(|l| l.trim().parse().ok());
     let long = told.is_some_and(|length: u64| length > HELD as u64);
     let mut held = BytesMut::new();
+    let until = Instant::now() + pool.hold;
     loop {
-        let piece = link.piece(Some(pool.stall)).await.map_err(outcome)?;
-        let Some(piece) = piece else {
+        let Some(piece) = link.piece(Some(pool.stall)).await.map_err(outcome)? else {
             pool.links.keep(link);
             return Ok(Content::Whole(held.freeze()));
         };
         held.extend_from_slice(&piece);
-        if head.status != StatusCode::OK && (long || held.len() > HELD) {
+        let long = long || held.len() > HELD;
+        if long && head.status != StatusCode::OK {
             // Nobody is served it.
             return Ok(Content::Whole(Bytes::new()));
         }
-        if long || held.len() > HELD {
-            let (tx, pieces) = mpsc::channel(PIECES);
-            actix_rt::spawn(pass(pool.links.clone(), link, held.freeze(), tx));
-            return Ok(Content::Streamed(Download { length: told, pieces }));
+        // One that is slow to come could not be tried for again in time, and is no use to its client held. One that
+        // stands still may be spoilt.
+        if long || (Instant::now() >= until && head.status == StatusCode::OK) {
+            return Ok(streamed(pool, link, held, told));
         }
     }
 }
 
+/// An answer that its client gets as it comes.
+fn streamed(pool: &Pool, link: Link, first: BytesMut, length: Option<u64>) -> Content {
+    let (tx, pieces) = mpsc::channel(PIECES);
+    actix_rt::spawn(pass(pool.links.clone(), link, first.freeze(), tx));
+    Content::Streamed(Download { length, pieces })
+}
+
 /// Passes a long answer on, no faster than its client takes it. A client that goes takes the connection along.
 async fn pass(links: Links, mut link: Link, first: Bytes, to: mpsc::Sender<Result<Bytes, Lost>>) {
     let mut piece = Ok(Some(first));
--- a/src/node.rs
+++ b/src/node.rs
@@ -41,6 +41,11 @@
 const SHORTEST_STALL: Duration = Duration::from_millis(30);
 const LONGEST_STALL: Duration = Duration::from_millis(400);
 
+/// How long an answer that comes in pieces is held back, so that it can be tried for again: an eighth of the tightest
+/// aim, within these bounds.
+const SHORTEST_HOLD: Duration = Duration::from_millis(20);
+const LONGEST_HOLD: Duration = Duration::from_millis(200);
+
 /// How long a connection to a target rests after an answer: what a target sends behind one shows by then.
 const REST: Duration = Duration::from_millis(10);
 
@@ -277,7 +282,8 @@
             budget.share(welcome.share.descriptors);
         }
         let connect_timeout = config.settings.connect_timeout();
-        let pool = http::Pool { connect_timeout, stall, links };
+        let hold = (config.settings.tightest_aim() / 8).clamp(SHORTEST_HOLD, LONGEST_HOLD);
+        let pool = http::Pool { connect_timeout, stall, hold, links };
         let access_log = config.access_log.as_ref().map(|c| AccessLog::open(&c.path, c.queue)).transpose()?;
         let (inbox, core) = core::mailbox(&config.settings, access_log.clone());
         let figures = iscsi.as_ref().map(|(_, iscsi)| figures(iscsi, &config.settings));
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -230,10 +230,10 @@
                 self.use_told(now, id, outcome, used, elsewhere);
                 self.outcome(now, id, (attempt, outcome, took, over), act);
             }
-            Event::Started { id, attempt } => {
-                self.deadlines.retain(|(_, open)| *open != id);
+            Event::Started { id, attempt, timed } => {
+                self.deadlines.retain(|(_, open)| timed || *open != id);
                 if let Some(h) = self.requests.get_mut(&id) {
-                    h.started = true;
+                    h.started |= !timed;
                     let tries = h.tries.get(attempt.0 as usize);
                     let at = tries.and_then(|t| Some((t.sent, self.nodes.get_mut(&t.node)?)));
                     at.into_iter().for_each(|(sent, n)| n.free((sent, id, attempt.0), h.units));
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -421,3 +421,24 @@
     assert!((0..20).all(|seed| placed(20 * MS, seed)), "40 ms of an aim of 200");
     assert!((0..20).any(|seed| !placed(90 * MS, seed)), "180 ms: a new connection is worth it");
 }
+
+// An answer that its target wrote slowly took up the node's room until its last byte, and was called off as silent.
+#[test]
+fn an_attempt_whose_answer_has_begun_takes_no_room_and_is_not_called_off_but_stays_timed() {
+    let begun = |told: bool| {
+        let mut b = heard(2 * MS);
+        assert_eq!(sends(&b.take(request(1, READ))), [1]);
+        if told {
+            b.event(Event::Started { id: RequestId(1), attempt: Attempt(0), timed: true });
+        }
+        b
+    };
+    let room = |mut b: Bench| (2..40).map(|id| sends(&b.take(request(id, READ))).len()).sum::<usize>();
+    assert_eq!(room(begun(true)), room(begun(false)) + 1);
+    let ends = |mut b: Bench| {
+        let called_off = calls_off(&b.pass(200 * MS));
+        (called_off, answers(&b.pass(SECOND)))
+    };
+    assert_eq!(ends(begun(false)), (vec![1], vec![(1, true)]));
+    assert_eq!(ends(begun(true)), (vec![], vec![(1, true)]), "its client still gets an answer in time");
+}
--- a/tests/network/bodies.rs
+++ b/tests/network/bodies.rs
@@ -310,3 +310,38 @@
         }
     });
 }
+
+// An answer without a length was held until 64 KiB of it had come, and one whose target wrote it slowly was called off
+// as silent, three times over: views of 290 ms were refused after 1,447 ms, though their targets served each attempt.
+#[test]
+fn an_answer_that_is_slow_to_come_is_passed_on_and_not_called_off() {
+    story(async {
+        let (listener, line) = target().await;
+        let node = start(&[line], None, None).await;
+        let (go, mut gone) = tokio::sync::mpsc::channel::<()>(1);
+        let serving = actix_rt::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            head(&mut stream).await;
+            stream
+                .write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                .await
+                .expect("written");
+            // Whoever holds it back keeps the client from asking for the rest.
+            let mut pause = tokio::time::interval(std::time::Duration::from_millis(20));
+            let mut sent = 0;
+            while gone.try_recv().is_err() {
+                pause.tick().await;
+                stream.write_all(b"2\r\nab\r\n").await.expect("it is not called off");
+                sent += 1;
+            }
+            stream.write_all(b"0\r\n\r\n").await.expect("written");
+            assert!(sent * 2 < 64 * 1024, "its client had to wait for {sent} pieces");
+            sent
+        });
+        let mut client = TcpStream::connect(node.http).await.expect("connected");
+        client.write_all(request("view", "e1", 0, "").as_bytes()).await.expect("written");
+        assert!(head(&mut client).await.starts_with("HTTP/1.1 200"));
+        go.send(()).await.expect("it waits");
+        assert_eq!(dechunk(&mut client).await.len(), 2 * serving.await.expect("it ends"));
+    });
+}
--- a/tests/network/http.rs
+++ b/tests/network/http.rs
@@ -291,3 +291,19 @@
         assert_eq!([one, two, three], ["200 one", "200 two", "200 three"]);
     });
 }
+
+// A request whose head was begun before a new object was placed names a shard that does not hold it: its target turned
+// it away at every attempt, 504 and unseen, though the initiator itself had placed the object.
+#[test]
+fn an_object_is_asked_for_where_it_was_placed_whatever_its_request_says() {
+    story(async {
+        let mut first = peer(vec![ok("stored"), ok("seen")]).await;
+        let node = start(&[line(first.addr, 0, "active")], None, None).await;
+        assert_eq!(ask(node.http, &request("deposit", "p1", -1, "bytes")).await, "200 stored");
+        assert_eq!(ask(node.http, &request("view", "p2", 1, "")).await, "200 seen");
+        assert_snapshot!(saw(&mut first, 2).await, @r"
+        PUT /deposit/00000003b4d60021/7f3a9c21e0b4d655?v=1 HTTP/1.1 p1 key-1 bytes
+        GET /view/00000003b4d60021/7f3a9c21e0b4d655?v=1 HTTP/1.1 p2
+        ");
+    });
+}
