Test processes under signals, crowds and stuck bodies, with faults between them

Now several processes of the program run beside stand-ins, and: SIGHUP to both and sixteen clients with a connection for every request during an overlap (nobody is turned back, both end only when told); a deposit open in the old process asked again at the new one (it runs once); forty bodies of 24 MB stuck, half at targets that stopped and half at clients that do not read, under 32 MB; 240 connections for 96 descriptors, silent, half and idle ones that wake at once, with a request under way, operators' calls within their second, and a box that leaves the list.

--- a/crates/lab/src/upgrade.rs
+++ b/crates/lab/src/upgrade.rs
@@ -93,6 +93,7 @@
                 settings: settings(&world::header(), 1, ZONE, 2),
                 discovery: site.discovery.addr(),
                 sockets: SOCKETS,
+                memory_mb: 192,
                 operator: None,
                 meeting: Some(Meeting { folder: folder.path().to_path_buf(), listen }),
             })?)
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -138,6 +138,7 @@
             settings: settings.clone(),
             discovery: site.discovery.addr(),
             sockets: 1_024,
+            memory_mb: 192,
             operator: operator(number),
             meeting: None,
         })?);
--- a/crates/standin/src/daemon.rs
+++ b/crates/standin/src/daemon.rs
@@ -71,8 +71,9 @@
     pub args: Vec<String>,
     pub settings: Value,
     pub discovery: SocketAddr,
-    /// Descriptors it may hold.
+    /// Descriptors it may hold, and memory.
     pub sockets: usize,
+    pub memory_mb: usize,
     /// The text of an operator's file, if there is one.
     pub operator: Option<String>,
     /// Where it meets a process that it replaces, or that replaces it; it then listens for operators' calls too.
@@ -150,7 +151,7 @@
         let listen = listen.map_or("127.0.0.1:0".to_string(), |l| l.to_string());
         let mut text = json!({
             "name": start.name, "listen": listen, "discovery": start.discovery.to_string(),
-            "seed": "0000000000000005", "limits": {"memory_mb": 192, "sockets": start.sockets},
+            "seed": "0000000000000005", "limits": {"memory_mb": start.memory_mb, "sockets": start.sockets},
             "settings": start.settings,
         });
         let mut command = Command::new(&start.program);
--- a/src/cli/replay.rs
+++ b/src/cli/replay.rs
@@ -196,6 +196,7 @@
         settings: settings(&header, 1, "kingston", site.boxes.len()),
         discovery: site.discovery.addr(),
         sockets: 1_024,
+        memory_mb: 192,
         operator: None,
         meeting: None,
     };
--- a/tests/network/main.rs
+++ b/tests/network/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod http;
 mod iscsi;
+mod processes;
 mod replay;
 mod routes;
 mod site;
--- /dev/null
+++ b/tests/network/processes.rs
@@ -0,0 +1,271 @@
+//! Processes of the program on the platform's protocol, with faults between them: one replaces another while signals
+//! and clients come, bodies get stuck on both sides, descriptors run out.
+
+use crate::site::{ask, ask_on, read_message, request, story};
+use rowanglade_standin::{BoxPlan, Daemon, Fault, Meeting, Signal, Site, Start, settings};
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// What operators may wait for an answer.
+const CALLER: Duration = Duration::from_secs(1);
+
+async fn boxes(plans: &[BoxPlan]) -> Site {
+    Site::start(plans, "kingston", 5).await.expect("started")
+}
+
+fn program(site: &Site, shape: impl FnOnce(&mut Start)) -> Daemon {
+    let mapping = rowanglade_capture::Mapping::standard().expect("usable");
+    let header = rowanglade_capture::Header {
+        base_us: 0,
+        sources: Vec::new(),
+        classes: mapping.classes().to_vec(),
+        plans: mapping.plans().to_vec(),
+        anonymised: false,
+    };
+    let mut start = Start {
+        name: "n1".into(),
+        program: env!("CARGO_BIN_EXE_rowanglade").into(),
+        args: Vec::new(),
+        settings: settings(&header, 1, "kingston", site.boxes.len()),
+        discovery: site.discovery.addr(),
+        sockets: 256,
+        memory_mb: 192,
+        operator: None,
+        meeting: None,
+    };
+    shape(&mut start);
+    Daemon::start(&start).expect("it serves")
+}
+
+fn meets(folder: &Path, listen: Option<SocketAddr>) -> Option<Meeting> {
+    Some(Meeting { folder: folder.to_path_buf(), listen })
+}
+
+async fn call(daemon: &Daemon, call: &str) -> String {
+    let admin = daemon.admin.expect("operators can call");
+    let asked = Instant::now();
+    let answer = ask(admin, &format!("{call} HTTP/1.1\r\nHost: x\r\n\r\n")).await;
+    assert!(asked.elapsed() < CALLER, "{call}: {answer} after {:?}", asked.elapsed());
+    answer
+}
+
+async fn healthy(daemon: &Daemon) {
+    while call(daemon, "GET /healthcheck").await != "200 close" {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+async fn ends(daemon: &mut Daemon) {
+    while !daemon.ended() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+// Both processes live, clients open a connection for every request, and operators have the configuration read again:
+// nobody is turned back unheard, and both end only when told.
+#[test]
+fn signals_and_a_burst_of_clients_during_the_overlap_turn_nobody_back() {
+    story(async {
+        let site = boxes(&[BoxPlan::default(), BoxPlan::default()]).await;
+        let folder = tempfile::tempdir().expect("a folder");
+        let mut first = program(&site, |s| s.meeting = meets(folder.path(), None));
+        healthy(&first).await;
+        let http = first.http;
+        let (stop, answered) = (Rc::new(Cell::new(false)), Rc::new(Cell::new(0)));
+        let client = |name: usize| {
+            let (stop, answered) = (Rc::clone(&stop), Rc::clone(&answered));
+            async move {
+                for i in 0.. {
+                    let answer =
+                        ask(http, &request("view", &format!("c{name}-{i}"), (i % 2) as i32, "")).await;
+                    assert!(answer.starts_with("200") || answer.starts_with("503"), "{answer:?}");
+                    answered.set(answered.get() + 1);
+                    if stop.get() {
+                        return;
+                    }
+                }
+            }
+        };
+        let clients: Vec<_> = (0..16).map(|name| actix_rt::spawn(client(name))).collect();
+        let progress = async |more: usize| {
+            let until = answered.get() + more;
+            while answered.get() < until {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+        };
+        progress(100).await;
+        let mut second = program(&site, |s| s.meeting = meets(folder.path(), Some(http)));
+        first.signal(Signal::SIGHUP).expect("it runs");
+        second.signal(Signal::SIGHUP).expect("it runs");
+        healthy(&second).await;
+        first.signal(Signal::SIGHUP).expect("it runs");
+        second.signal(Signal::SIGHUP).expect("it runs");
+        progress(200).await;
+        assert!(!first.ended() && !second.ended(), "nobody told them to end");
+        first.signal(Signal::SIGTERM).expect("it runs");
+        ends(&mut first).await;
+        progress(100).await;
+        stop.set(true);
+        for client in clients {
+            client.await.expect("each has an answer");
+        }
+        assert!(!second.ended());
+        assert_eq!(call(&second, "GET /healthcheck").await, "200 close");
+    });
+}
+
+// A deposit is open in the old process when its client has enough and asks the new one, with the same key: it runs once.
+#[test]
+fn a_deposit_open_in_the_old_process_and_asked_again_at_the_new_one_runs_once() {
+    story(async {
+        let site = boxes(&[BoxPlan::default()]).await;
+        let folder = tempfile::tempdir().expect("a folder");
+        let first = program(&site, |s| s.meeting = meets(folder.path(), None));
+        healthy(&first).await;
+        let stalled = tokio::time::Instant::now() + Duration::from_millis(700);
+        site.boxes[0].misbehave(Fault { stalled_until: Some(stalled), ..Fault::default() });
+        let mut open = TcpStream::connect(first.http).await.expect("connected");
+        open.write_all(request("deposit", "d1", 0, "bytes").as_bytes()).await.expect("written");
+        while site.boxes[0].counters().taken == 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        let second = program(&site, |s| s.meeting = meets(folder.path(), Some(first.http)));
+        healthy(&second).await;
+        first.signal(Signal::SIGTERM).expect("it runs");
+        assert_eq!(ask(second.http, &request("deposit", "d2", 0, "bytes")).await, "200 kept");
+        let (head, body) = read_message(&mut open).await.expect("the old process answers what it took");
+        assert!(head.starts_with("HTTP/1.1 200") && body == b"kept", "{head}");
+        let seen = site.boxes[0].counters();
+        assert_eq!((seen.writes, seen.repeats), (1, 1), "{seen:?}");
+    });
+}
+
+// Forty bodies stand still half way, each of far more than there is memory for: twenty of targets that stopped, twenty
+// of clients that do not read. The process stays within its memory, and a usual client is served beside them.
+#[test]
+fn forty_stuck_bodies_stay_within_the_memory_and_hinder_nobody() {
+    const LONG: usize = 24 << 20;
+    story(async {
+        let site = boxes(&[BoxPlan::default()]).await;
+        // Another target, whose answers are long: for requests of shard 1, and stopped half way for those named so.
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        site.discovery.put(rowanglade_standin::Entry {
+            id: "long".into(),
+            addr: listener.local_addr().expect("bound"),
+            shard: 1,
+            ..rowanglade_standin::Entry::of(&site.boxes[0], rowanglade_standin::State::Active)
+        });
+        actix_rt::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                actix_rt::spawn(async move {
+                    while let Some((head, _)) = read_message(&mut stream).await {
+                        let stops = head.contains("stops");
+                        let said = format!("HTTP/1.1 200 OK\r\nContent-Length: {LONG}\r\n\r\n");
+                        stream.write_all(said.as_bytes()).await?;
+                        let piece = vec![b'.'; 1 << 16];
+                        for _ in 0..if stops { 4 } else { LONG / piece.len() } {
+                            stream.write_all(&piece).await?;
+                        }
+                        if stops {
+                            std::future::pending::<()>().await;
+                        }
+                    }
+                    Ok::<_, std::io::Error>(())
+                });
+            }
+        });
+        let daemon = program(&site, |s| {
+            (s.memory_mb, s.sockets) = (32, 256);
+            s.settings["family-info"]["n-shards"] = 2.into();
+        });
+        while ask(daemon.http, &request("view", "up", 0, "")).await.starts_with("503") {}
+        let mut stuck = Vec::new();
+        for i in 0..40 {
+            let name = if i % 2 == 0 { "stops" } else { "unread" };
+            let mut client = TcpStream::connect(daemon.http).await.expect("connected");
+            let ask = request("view", &format!("{name}-{i}"), 1, "");
+            client.write_all(ask.as_bytes()).await.expect("written");
+            // Its first bytes come, so the answer is under way.
+            let mut first = [0; 64];
+            client.read_exact(&mut first).await.expect("an answer");
+            let first = String::from_utf8_lossy(&first).into_owned();
+            assert!(first.starts_with("HTTP/1.1 200"), "{first}");
+            stuck.push(client);
+        }
+        for i in 0..50 {
+            let answer = ask(daemon.http, &request("view", &format!("usual-{i}"), 0, "")).await;
+            assert!(answer.starts_with("200"), "{answer}");
+        }
+        let memory = daemon.usage().memory;
+        assert!(memory < 32 << 20, "{memory} bytes");
+    });
+}
+
+// Far more connections than descriptors: silent ones, half heads, and idle ones that all wake at once. Requests under
+// way are answered, operators hear an answer, and discovery's news still comes.
+#[test]
+fn with_every_descriptor_taken_requests_calls_and_the_list_go_on() {
+    story(async {
+        let site = boxes(&[BoxPlan::default(), BoxPlan::default()]).await;
+        let folder = tempfile::tempdir().expect("a folder");
+        let daemon = program(&site, |s| {
+            (s.sockets, s.memory_mb) = (96, 32);
+            s.meeting = meets(folder.path(), None);
+        });
+        healthy(&daemon).await;
+        // Under way all along: its box does not go on before it is told.
+        let until = tokio::time::Instant::now() + Duration::from_millis(800);
+        site.boxes[0].misbehave(Fault { stalled_until: Some(until), ..Fault::default() });
+        let mut open = TcpStream::connect(daemon.http).await.expect("connected");
+        open.write_all(request("deposit", "open", 0, "x").as_bytes()).await.expect("written");
+        while site.boxes[0].counters().taken == 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        let mut crowd = Vec::new();
+        let mut idle = Vec::new();
+        for i in 0..240 {
+            let mut stream = TcpStream::connect(daemon.http).await.expect("connected");
+            match i % 3 {
+                0 => {}
+                1 => stream.write_all(b"GET /view/000000").await.expect("written"),
+                _ => {
+                    // Where the place is another's by now, there is no answer, and the connection ends.
+                    let answer = ask_on(&mut stream, &request("view", &format!("i{i}"), 1, "")).await;
+                    assert!(answer == "nothing" || answer.starts_with("200"), "{answer}");
+                    idle.push(stream);
+                    continue;
+                }
+            }
+            crowd.push(stream);
+        }
+        let held = std::fs::read_dir(format!("/proc/{}/fd", daemon.process())).expect("it runs").count();
+        assert!(held <= 96, "{held} descriptors");
+        assert_eq!(call(&daemon, "GET /healthcheck").await, "200 close");
+        assert_eq!(call(&daemon, "PUT /targets/box-1/maint").await, "200 close");
+        assert_eq!(call(&daemon, "PUT /targets/box-1/ready").await, "200 close");
+        // All wake at once.
+        let waking = idle.into_iter().enumerate().map(|(i, mut stream)| async move {
+            if stream.write_all(request("view", &format!("w{i}"), 1, "").as_bytes()).await.is_err() {
+                return None;
+            }
+            read_message(&mut stream).await.map(|(head, _)| head)
+        });
+        let answers = futures_util::future::join_all(waking).await;
+        let answered =
+            answers.iter().flatten().filter(|a| a.contains(" 200 ") || a.contains(" 503 ")).count();
+        assert_eq!(answered, answers.iter().flatten().count(), "{answers:?}");
+        assert!(answered >= 8, "those that were kept are served: {answered}");
+        // A new client gets in, and the list's news comes: a box that leaves gets nothing more.
+        assert!(ask(daemon.http, &request("view", "late", 1, "")).await.starts_with("200"));
+        site.kill(1);
+        while ask(daemon.http, &request("view", "gone", 1, "")).await.starts_with("200") {}
+        let (head, _) = read_message(&mut open).await.expect("it was under way");
+        assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+        drop(crowd);
+    });
+}
--- a/tests/network/routes.rs
+++ b/tests/network/routes.rs
@@ -104,6 +104,7 @@
             settings: settings(&header, 1, "kingston", 2),
             discovery: site.discovery.addr(),
             sockets: 256,
+            memory_mb: 192,
             operator: Some(String::new()),
             meeting: None,
         })
