Leave a lost site as a whole, and pace its return over all instances

Need: when a site goes, every instance finds that out box by box and tries each again and again; when it returns, all turn to its cold boxes at once.

Design: crates/sites, without I/O, judges a site lost when most of its targets failed, or left the list undrained, within one window and none answered since; once half fail, those that nobody asked are probed first. A lost site's targets stand as draining beside the list, as operators' calls do; a request that nobody else could serve is refused at the door with X-Refused and when to come back. After a hold, doubled with each further loss, instances probe in turn, and what returns counts as just started, so the rule on cold targets paces it over all instances without a word between them; where it is slow, the ramp begins anew. Off without [sites].

--- a/crates/standin/src/discovery.rs
+++ b/crates/standin/src/discovery.rs
@@ -29,6 +29,8 @@
     pub shard: u32,
     pub state: State,
     pub started_ms: u64,
+    /// Its zone, where it is not the service's own.
+    pub zone: Option<String>,
 }
 
 impl Entry {
@@ -39,6 +41,7 @@
             shard: each.shard(),
             state,
             started_ms: each.started_ms(),
+            zone: None,
         }
     }
 
@@ -49,7 +52,7 @@
             State::Left => "left",
         };
         json!({
-            "id": self.id, "addr": self.addr.to_string(), "zone": zone, "kind": "std-box",
+            "id": self.id, "addr": self.addr.to_string(), "zone": self.zone.as_deref().unwrap_or(zone), "kind": "std-box",
             "cell": self.shard, "state": state, "weight": 1.0, "started_ms": self.started_ms,
         })
     }
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,6 +1,7 @@
 //! The one place where configuration is read, checked and given defaults: the environment and the JSON that
 //! the platform hands over.
 
+use crate::core::Watch;
 use crate::names::Names;
 use crate::net::fleet::Peers;
 use crate::net::http::Page;
@@ -10,6 +11,7 @@
 use rowanglade_fleet_state::{Peer, wire::key};
 use rowanglade_routing::check::Decision;
 use rowanglade_routing::{BoxInfo, Report, Rules, Source, Terms, Verdict};
+use rowanglade_sites::Rules as SiteRules;
 use serde::Deserialize;
 use serde::de::IgnoredAny;
 use std::collections::HashMap;
@@ -39,6 +41,8 @@
     pub routing: Routing,
     /// Absent where instances do not talk to each other.
     pub fleet: Option<Peers>,
+    /// Absent where sites are not judged.
+    pub sites: Option<Watch>,
 }
 
 /// Routes and expectations, and what of the settings they are about.
@@ -246,6 +250,7 @@
             .map_err(|e| ConfigError::new(e.origin.trim_end_matches(": "), e.problem))?;
         let iscsi = operator.iscsi.map(|table| table.check(&file.settings)).transpose()?;
         let seed = file.seed.as_deref().unwrap_or("0");
+        let sites = operator.sites.map(|sites| sites.check(&file.settings)).transpose()?;
         let config = Config {
             name: pick("LB_NAME", "name", file.name).map_or("rowanglade".to_string(), |(_, name)| name),
             listen: address(listen)?,
@@ -261,6 +266,7 @@
             access_log: operator.access_log.map(AccessLog::check).transpose()?,
             routing: Routing { rules, terms },
             fleet: operator.fleet.map(FleetTable::check).transpose()?,
+            sites,
         };
         config.decide()?;
         Ok(config)
@@ -349,6 +355,7 @@
     iscsi: Option<IscsiTable>,
     access_log: Option<AccessLog>,
     fleet: Option<FleetTable>,
+    sites: Option<SitesTable>,
     // What routing reads for itself.
     #[serde(rename = "pool")]
     _pool: Option<IgnoredAny>,
@@ -420,6 +427,11 @@
                 (Some(fleet), None) => all.fleet = Some(fleet),
                 (None, _) => {}
             }
+            match (operator.sites, &all.sites) {
+                (Some(_), Some(_)) => return twice("sites"),
+                (Some(sites), None) => all.sites = Some(sites),
+                (None, _) => {}
+            }
             match (operator.access_log, &all.access_log) {
                 (Some(_), Some(_)) => return twice("access_log"),
                 (Some(log), None) => all.access_log = Some(log),
@@ -431,6 +443,82 @@
     }
 }
 
+/// When a site is lost, and how it comes back.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct SitesTable {
+    /// The zones that are sites; empty: all.
+    names: Vec<String>,
+    window_ms: u64,
+    part: f64,
+    hold_ms: u64,
+    longest_hold_ms: u64,
+    probe_every_ms: u64,
+    slow_times: f64,
+}
+
+impl Default for SitesTable {
+    fn default() -> SitesTable {
+        SitesTable {
+            names: Vec::new(),
+            window_ms: 1_000,
+            part: 0.75,
+            hold_ms: 5_000,
+            longest_hold_ms: 60_000,
+            probe_every_ms: 500,
+            slow_times: 3.0,
+        }
+    }
+}
+
+impl SitesTable {
+    fn check(self, settings: &Settings) -> Result<Watch, ConfigError> {
+        let wrong = |key: &str, problem: String| Err(ConfigError::new(format!("sites.{key}"), problem));
+        let spans = [
+            ("window_ms", self.window_ms),
+            ("hold_ms", self.hold_ms),
+            ("longest_hold_ms", self.longest_hold_ms),
+            ("probe_every_ms", self.probe_every_ms),
+        ];
+        // Far above any use, and well inside the range of times.
+        if let Some((key, value)) = spans.iter().find(|(_, v)| !(1..=86_400_000).contains(v)) {
+            return wrong(key, format!("{value} is not from 1 to 86400000"));
+        }
+        if !(self.part > 0.5 && self.part <= 1.0) {
+            return wrong("part", format!("{} is not over 0.5 and up to 1", self.part));
+        }
+        if self.longest_hold_ms < self.hold_ms {
+            return wrong("longest_hold_ms", format!("{} is under sites.hold_ms", self.longest_hold_ms));
+        }
+        if !(self.slow_times > 1.0 && self.slow_times.is_finite()) {
+            return wrong("slow_times", format!("{} is not over 1", self.slow_times));
+        }
+        for (i, name) in self.names.iter().enumerate() {
+            if !settings.zones().contains(name) {
+                return wrong(&format!("names[{i}]"), format!("{name:?} is no zone of settings.azs"));
+            }
+        }
+        if settings.warm_within() == 0 {
+            let problem = "what returns has no ramp: settings.rules.warm-within is zero";
+            return Err(ConfigError::new("sites", problem));
+        }
+        let (me, instances) = settings.instances();
+        let rules = SiteRules {
+            window: self.window_ms * 1_000,
+            part: self.part,
+            hold: self.hold_ms * 1_000,
+            longest_hold: self.longest_hold_ms * 1_000,
+            probe_every: self.probe_every_ms * 1_000,
+            ramp: settings.warm_within(),
+            slow_times: self.slow_times,
+            me,
+            instances,
+        };
+        let names = self.names.into_iter().collect();
+        Ok(Watch { names, rules, longest_advice: settings.longest_advice() })
+    }
+}
+
 /// The other instances, and the key that all of them have.
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/src/core/access_log.rs
+++ b/src/core/access_log.rs
@@ -153,7 +153,9 @@
         if let Some(line) = &mut self.line {
             (line.end, line.received, line.wait_ms) = match answer {
                 Answer::Served(body) => (End::Served, body.length(), 0),
-                Answer::Refused { wait } => (End::Refused, 0, wait.as_millis() as u64),
+                Answer::Refused { wait } | Answer::Away { wait, .. } => {
+                    (End::Refused, 0, wait.as_millis() as u64)
+                }
                 Answer::Failed => (End::Failed, 0, 0),
             };
         }
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -8,6 +8,7 @@
     Answer, Call, ListMessage, Listed, Message, Operation, Order, Reply, Upgrade, Wire,
 };
 use crate::core::routes::{Loaded, Routes};
+use crate::core::sites::{Watch, Watched};
 use crate::interface::{
     Action, Attempt as Number, Entry, Event, KeyId, ListKind, Load, Micros, NodeId, NodeState, Outcome,
     ReachId, Request, RequestId, ShardId, VolumeId,
@@ -78,6 +79,8 @@
     pub upgrades: mpsc::Receiver<Upgrade>,
     /// Calls that hold here are told to the other process, if there is one.
     pub calls: mpsc::Sender<Call>,
+    /// Absent where sites are not judged.
+    pub sites: Option<Watch>,
 }
 
 /// The actor; [`Core::run`] is its life.
@@ -112,6 +115,8 @@
     calls: mpsc::Sender<Call>,
     maintenance: Maintenance,
     places: Places,
+    /// Absent where sites are not judged.
+    sites: Option<Watched>,
     /// Another process has what is owned here.
     handed: bool,
     /// What the module said last that it can do without.
@@ -149,7 +154,7 @@
         connect: Connect,
         beside: Beside,
     ) -> Core {
-        let Beside { mut table, fleet, operations, upgrades, calls } = beside;
+        let Beside { mut table, fleet, operations, upgrades, calls, sites } = beside;
         let Inbox { rx, tx, ready, open, ids, boxes } = inbox;
         let routes = Routes::new(Arc::clone(&table.borrow_and_update()));
         Core {
@@ -178,6 +183,7 @@
             calls,
             maintenance: Maintenance::default(),
             places: Places::new(PLACES),
+            sites: sites.map(Watched::new),
             handed: false,
             spared: 0.0,
         }
@@ -191,7 +197,8 @@
             let backstop = self.backstops.first().map(|(at, _)| *at);
             let trust_at = (!self.trusting).then_some(trust);
             let ask = self.fleet.as_ref().filter(|_| !self.handed).and_then(|f| f.exchange.wake());
-            let until = [timer, backstop, trust_at, ask].into_iter().flatten().min();
+            let sites = self.sites.as_ref().and_then(|s| s.wake(self.clock.now()));
+            let until = [timer, backstop, trust_at, ask, sites].into_iter().flatten().min();
             let clock = self.clock;
             let pause = async {
                 match until {
@@ -266,6 +273,10 @@
             }
             Message::Ended { id, number, reply } => self.ended(id, number, reply),
             Message::Probed { node, outcome, took, load } => {
+                let now = self.clock.now();
+                if let (Some(sites), Some(target)) = (&mut self.sites, self.targets.get(&node)) {
+                    sites.ended(now, &target.told.name, outcome, false, None);
+                }
                 self.feed(Event::Probed { node, outcome, took, load });
             }
             Message::List { wire, kind, entries } => self.list(wire, kind, entries),
@@ -304,6 +315,7 @@
             reach,
         };
         let attempts = Vec::new();
+        let away = self.sites.as_ref().and_then(|s| s.refused(self.clock.now(), request.shard.map(|s| s.0)));
         if let Some(fleet) = &mut self.fleet {
             fleet.seen(order.volume, request.volume);
         }
@@ -311,6 +323,11 @@
         self.requests.insert(id, open);
         self.open.set(self.open.get() + 1);
         self.backstops.insert((deadline + BACKSTOP, id));
+        if let Some((site, wait)) = away {
+            // Nobody could take it: the module need not find that out.
+            self.conclude(id, Some(Answer::Away { site, wait }));
+            return;
+        }
         self.feed(Event::Request(request));
     }
 
@@ -342,6 +359,14 @@
             _ => {}
         }
         let over = self.requests.get(&id).is_none_or(|o| o.answer.is_none());
+        let now = self.clock.now();
+        // One whose client left tells nothing of its target.
+        if let (Some(sites), Some(target)) = (&mut self.sites, self.targets.get(&out.node))
+            && !(over && reply.outcome == Outcome::Cancelled)
+        {
+            let took = now.saturating_sub(out.sent);
+            sites.ended(now, &target.told.name, reply.outcome, out.heard.is_some(), Some(took));
+        }
         // What the answer takes on its way, once it has begun, says nothing of its target.
         let answered = out.heard.filter(|at| *at >= whole).unwrap_or(self.clock.now());
         self.feed(Event::Outcome {
@@ -404,6 +429,9 @@
         for told in entries {
             let node = self.names.listed(&told.name);
             self.maintenance.told(&told.name, state(told.state), told.started);
+            if let Some(sites) = &mut self.sites {
+                sites.listed(self.clock.now(), &told);
+            }
             let line = self.view(&told);
             lines.push(self.entry(node, &line));
             match self.targets.get_mut(&node) {
@@ -444,7 +472,11 @@
             State::Draining => NodeState::Draining,
             State::Gone => NodeState::Gone,
         };
-        Listed { state: held, started, ..told.clone() }
+        let line = Listed { state: held, started, ..told.clone() };
+        match &self.sites {
+            Some(sites) => sites.view(line),
+            None => line,
+        }
     }
 
     fn entry(&self, node: NodeId, line: &Listed) -> Entry {
@@ -546,10 +578,17 @@
 
     /// Puts in force what operators' calls have changed of a listed target.
     fn hold(&mut self, node: NodeId, out: bool) {
-        let Some(target) = self.targets.get(&node) else { return };
-        let line = self.view(&target.told);
-        let entry = self.entry(node, &line);
-        if let Some(target) = self.targets.get_mut(&node) {
+        self.hold_all(&[node], out);
+    }
+
+    /// Puts in force what others than discovery have changed of listed targets.
+    fn hold_all(&mut self, nodes: &[NodeId], out: bool) {
+        let mut entries = Vec::with_capacity(nodes.len());
+        for node in nodes {
+            let Some(target) = self.targets.get(node) else { continue };
+            let line = self.view(&target.told);
+            entries.push(self.entry(*node, &line));
+            let Some(target) = self.targets.get_mut(node) else { continue };
             target.line = line;
             if target.mailbox.try_send(TargetMessage::Rest(out)).is_err() {
                 tracing::warn!(
@@ -560,7 +599,31 @@
         }
         self.routes.listed(self.targets.iter().map(|(node, t)| (*node, &t.line)));
         self.tell_reach();
-        self.feed(Event::List { kind: ListKind::Beside, entries: vec![entry] });
+        self.feed(Event::List { kind: ListKind::Beside, entries });
+    }
+
+    /// What has become of sites by now.
+    fn judge_sites(&mut self, now: Micros) {
+        let Some((probes, changed)) = self.sites.as_mut().map(|s| s.poll(now)) else { return };
+        let nodes = |names: Vec<String>| {
+            let listed = names.iter().filter_map(|name| self.names.node(name));
+            listed.filter(|node| self.targets.contains_key(node)).collect::<Vec<NodeId>>()
+        };
+        let (probes, changed) = (nodes(probes), nodes(changed));
+        if !changed.is_empty() {
+            let rests = |node: &NodeId| {
+                self.targets.get(node).is_some_and(|t| self.view(&t.told).state == NodeState::Draining)
+            };
+            let (out, back): (Vec<NodeId>, Vec<NodeId>) = changed.into_iter().partition(rests);
+            for (nodes, out) in [(out, true), (back, false)] {
+                if !nodes.is_empty() {
+                    self.hold_all(&nodes, out);
+                }
+            }
+        }
+        for node in probes {
+            self.probe(now, node);
+        }
     }
 
     /// Tells the module whom routes let requests reach, where that has changed.
@@ -574,6 +637,7 @@
     /// Timers and backstops that are due.
     fn due(&mut self) {
         let now = self.clock.now();
+        self.judge_sites(now);
         if let Some(fleet) = self.fleet.as_mut().filter(|_| !self.handed)
             && let Some(want) = fleet.exchange.poll(now)
         {
@@ -634,18 +698,7 @@
             }
             Action::Spared { units, .. } => self.spared = units,
             Action::Probe { node } => {
-                let until = self.clock.instant(now + 1_000_000);
-                let place = self.tx.upgrade().and_then(|tx| tx.try_reserve_owned().ok());
-                let sent = match (self.targets.get(&node), place) {
-                    (Some(target), Some(place)) => {
-                        let probe = Probe { until, report: ProbeReport::new(node, now, self.clock, place) };
-                        // A probe that finds no place tells so by its drop.
-                        let _ = target.mailbox.try_send(TargetMessage::Probe(probe));
-                        true
-                    }
-                    _ => false,
-                };
-                if !sent {
+                if !self.probe(now, node) {
                     let (outcome, load) = (Outcome::NotSent, Load::default());
                     self.next.push_back(Event::Probed { node, outcome, took: 0, load });
                 }
@@ -653,6 +706,17 @@
         }
     }
 
+    /// Asks a target whether it answers. False: it was not asked.
+    fn probe(&mut self, now: Micros, node: NodeId) -> bool {
+        let until = self.clock.instant(now + 1_000_000);
+        let place = self.tx.upgrade().and_then(|tx| tx.try_reserve_owned().ok());
+        let (Some(target), Some(place)) = (self.targets.get(&node), place) else { return false };
+        let probe = Probe { until, report: ProbeReport::new(node, now, self.clock, place) };
+        // A probe that finds no place tells so by its drop.
+        let _ = target.mailbox.try_send(TargetMessage::Probe(probe));
+        true
+    }
+
     fn ask(&mut self, message: ListMessage) {
         if self.list.try_send(message).is_err() {
             self.next.push_back(Event::List { kind: ListKind::Failed, entries: Vec::new() });
@@ -753,7 +817,7 @@
                     inbox,
                     list,
                     connect(),
-                    Beside { table, fleet: None, operations, upgrades, calls },
+                    Beside { table, fleet: None, operations, upgrades, calls, sites: None },
                 );
                 tokio::select! {
                     () = core.run() => panic!("the core ended"),
--- a/src/core/message.rs
+++ b/src/core/message.rs
@@ -59,6 +59,11 @@
     Refused {
         wait: Duration,
     },
+    /// The same, since the site that has its data is lost.
+    Away {
+        site: Rc<str>,
+        wait: Duration,
+    },
     Failed,
 }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -10,6 +10,7 @@
 mod mailbox;
 mod message;
 mod routes;
+mod sites;
 
 pub use access_log::AccessLog;
 pub use actor::{Beside, Core};
@@ -20,3 +21,4 @@
 pub use mailbox::{Handle, Inbox, Pending, Unfit, mailbox};
 pub use message::*;
 pub use routes::{Loaded, Routes};
+pub use sites::Watch;
--- a/src/net/http/message.rs
+++ b/src/net/http/message.rs
@@ -20,6 +20,7 @@
 const PLAN: HeaderName = HeaderName::from_static("x-qos-policy");
 const PLACEMENT: HeaderName = HeaderName::from_static("x-placement");
 const NOT_RUN: HeaderName = HeaderName::from_static("x-unprocessed");
+const REASON: HeaderName = HeaderName::from_static("x-refused");
 const USED: HeaderName = HeaderName::from_static("x-iops-used");
 const ELSEWHERE: HeaderName = HeaderName::from_static("x-rho");
 const LOAD: HeaderName = HeaderName::from_static("x-backend-load");
@@ -127,13 +128,11 @@
 pub fn encode(answer: Answer) -> Response<Content> {
     match answer {
         Answer::Served(content) => Response::with_body(StatusCode::OK, content),
-        Answer::Refused { wait } => {
-            let mut response = status(StatusCode::SERVICE_UNAVAILABLE);
-            if !wait.is_zero() {
-                let seconds = format!("{:.3}", wait.as_secs_f64());
-                if let Ok(value) = HeaderValue::from_str(&seconds) {
-                    response.headers_mut().insert(RETRY_AFTER, value);
-                }
+        Answer::Refused { wait } => refused(wait),
+        Answer::Away { site, wait } => {
+            let mut response = refused(wait);
+            if let Ok(value) = HeaderValue::from_str(&format!("site {site} is lost")) {
+                response.headers_mut().insert(REASON, value);
             }
             response
         }
@@ -141,6 +140,17 @@
     }
 }
 
+fn refused(wait: Duration) -> Response<Content> {
+    let mut response = status(StatusCode::SERVICE_UNAVAILABLE);
+    if !wait.is_zero() {
+        let seconds = format!("{:.3}", wait.as_secs_f64());
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            response.headers_mut().insert(RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
 /// An answer without a body.
 pub fn status(code: StatusCode) -> Response<Content> {
     Response::with_body(code, Bytes::new().into())
--- a/src/net/iscsi/front.rs
+++ b/src/net/iscsi/front.rs
@@ -407,7 +407,9 @@
 
     async fn answer(&mut self, itt: u32, expected: Option<u32>, answer: Answer) -> io::Result<()> {
         match answer {
-            Answer::Refused { wait } => self.status(itt, scsi::BUSY, wait, None).await,
+            Answer::Refused { wait } | Answer::Away { wait, .. } => {
+                self.status(itt, scsi::BUSY, wait, None).await
+            }
             Answer::Failed => self.check(itt, scsi::NO_ANSWER).await,
             Answer::Served(Content::Streamed(_)) => self.check(itt, scsi::NO_ANSWER).await,
             Answer::Served(Content::Whole(body)) => {
--- a/src/node.rs
+++ b/src/node.rs
@@ -320,7 +320,14 @@
         };
         let (upgrades, asked_of_core) = mpsc::channel(OPERATIONS);
         let (tell_call, calls) = mpsc::channel(OPERATIONS);
-        let beside = Beside { table: in_force, fleet, operations, upgrades: asked_of_core, calls: tell_call };
+        let beside = Beside {
+            table: in_force,
+            fleet,
+            operations,
+            upgrades: asked_of_core,
+            calls: tell_call,
+            sites: config.sites,
+        };
         actix_rt::spawn(Core::new(gateway, names, clock, inbox, ask, connect, beside).run());
         let version = config.known.as_ref().map(http::Page::version);
         // What the predecessor holds is newer than what the platform remembers. The watch goes on from the latter's
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -23,6 +23,8 @@
     report: Report,
     rules: Rules,
     siblings: u32,
+    #[serde(default)]
+    my_number: u32,
 }
 
 #[derive(Debug, Deserialize)]
@@ -126,6 +128,26 @@
         Duration::from_micros(self.ceilings.connect_timeout.max(1_000))
     }
 
+    /// The names of the zones.
+    pub fn zones(&self) -> &[String] {
+        &self.azs
+    }
+
+    /// How long a target that has just started counts as cold.
+    pub fn warm_within(&self) -> Micros {
+        self.rules.warm_within.unwrap_or(0)
+    }
+
+    /// This instance's number, and how many there are.
+    pub fn instances(&self) -> (u32, u32) {
+        (self.my_number, self.siblings)
+    }
+
+    /// The longest advice to stay away that a client follows; zero: none is given.
+    pub fn longest_advice(&self) -> Duration {
+        Duration::from_micros(if self.ceilings.retry_after { self.ceilings.max_retry_after } else { 0 })
+    }
+
     /// The shortest time within which a class's answers are wanted.
     pub fn tightest_aim(&self) -> Duration {
         Duration::from_micros(self.grades.iter().map(|g| g.promise).min().unwrap_or(0))
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -40,6 +40,21 @@
 
 #[test]
 fn an_error_names_the_key() {
+    let sites = |text: &str| load(EXAMPLE, &format!("[sites]\n{text}\n"), &[]).expect_err(text);
+    for (error, key) in [
+        (sites("names = [\"kingstn\"]"), "sites.names[0]: \"kingstn\" is no zone"),
+        (sites("window_ms = 0"), "sites.window_ms"),
+        (sites("part = 0.5"), "sites.part"),
+        (sites("hold_ms = 70000"), "sites.longest_hold_ms"),
+        (sites("slow_times = 1"), "sites.slow_times"),
+        (sites("hold = 1"), "hold"),
+        (
+            load(&EXAMPLE.replace("\"warm-within\":", "\"was-within\":"), "[sites]", &[]).expect_err("x"),
+            "sites: what returns has no ramp",
+        ),
+    ] {
+        assert!(error.contains(key), "{error:?} does not name {key}");
+    }
     let json = |from: &str, to: &str| load(&EXAMPLE.replacen(from, to, 1), OPERATOR, &[]).expect_err(to);
     let toml = |from: &str, to: &str| load(EXAMPLE, &OPERATOR.replacen(from, to, 1), &[]).expect_err(to);
     for (error, key) in [
--- a/tests/network/main.rs
+++ b/tests/network/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod http;
 mod iscsi;
+mod lost_site;
 mod processes;
 mod replay;
 mod routes;
--- a/tests/network/processes.rs
+++ b/tests/network/processes.rs
@@ -14,11 +14,11 @@
 /// What operators may wait for an answer.
 const CALLER: Duration = Duration::from_secs(1);
 
-async fn boxes(plans: &[BoxPlan]) -> Site {
+pub async fn boxes(plans: &[BoxPlan]) -> Site {
     Site::start(plans, "kingston", 5).await.expect("started")
 }
 
-fn program(site: &Site, shape: impl FnOnce(&mut Start)) -> Daemon {
+pub fn program(site: &Site, shape: impl FnOnce(&mut Start)) -> Daemon {
     let mapping = rowanglade_capture::Mapping::standard().expect("usable");
     let header = rowanglade_capture::Header {
         base_us: 0,
@@ -81,8 +81,7 @@
             let (stop, answered) = (Rc::clone(&stop), Rc::clone(&answered));
             async move {
                 for i in 0.. {
-                    let answer =
-                        ask(http, &request("view", &format!("c{name}-{i}"), (i % 2) as i32, "")).await;
+                    let answer = ask(http, &request("view", &format!("c{name}-{i}"), i % 2, "")).await;
                     assert!(answer.starts_with("200") || answer.starts_with("503"), "{answer:?}");
                     answered.set(answered.get() + 1);
                     if stop.get() {
