Measure a lost site in the lab, with plots: each box by itself against judging the site

`site-loss`: 600 requests a second through three processes, six boxes at two sites; four fall silent for 5 s and return cold, and the list knows of neither.

The lab's page of HTML now draws lines over time (plotters, SVG alone).

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,6 +7,7 @@
 mod outcome;
 mod replays;
 mod routes;
+mod sites;
 mod upgrade;
 mod world;
 
@@ -27,7 +28,7 @@
 /// All experiments, in the order of `list`.
 fn experiments() -> Vec<Experiment> {
     let all = [replays::experiments(), capture::experiments(), routes::experiments(), fleet::experiments()];
-    [all.concat(), upgrade::experiments()].concat()
+    [all.concat(), upgrade::experiments(), sites::experiments()].concat()
 }
 
 fn main() -> ExitCode {
--- a/crates/lab/src/outcome.rs
+++ b/crates/lab/src/outcome.rs
@@ -1,5 +1,6 @@
 //! What an experiment found, and whether its claims hold.
 
+use plotters::prelude::*;
 use serde::Serialize;
 use std::fmt;
 
@@ -21,6 +22,42 @@
     unit: &'static str,
 }
 
+/// Lines over time, with their names.
+#[derive(Clone, Debug, Serialize)]
+struct Plot {
+    title: String,
+    lines: Vec<(&'static str, Vec<(f64, f64)>)>,
+}
+
+impl Plot {
+    /// As SVG.
+    fn draw(&self) -> Result<String, Box<dyn std::error::Error>> {
+        let points = || self.lines.iter().flat_map(|(_, points)| points);
+        let (right, top) = points().fold((1.0f64, 1e-9f64), |(x, y), p| (x.max(p.0), y.max(p.1)));
+        let mut svg = String::new();
+        {
+            let area = SVGBackend::with_string(&mut svg, (720, 280)).into_drawing_area();
+            let mut chart = ChartBuilder::on(&area)
+                .caption(&self.title, ("sans-serif", 15))
+                .margin(8)
+                .x_label_area_size(30)
+                .y_label_area_size(48)
+                .build_cartesian_2d(0.0..right, 0.0..top * 1.1)?;
+            chart.configure_mesh().x_desc("seconds").light_line_style(TRANSPARENT).draw()?;
+            for (i, (name, points)) in self.lines.iter().enumerate() {
+                let colour = Palette99::pick(i).to_rgba();
+                let line =
+                    chart.draw_series(LineSeries::new(points.iter().copied(), colour.stroke_width(2)))?;
+                line.label(*name)
+                    .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], colour.stroke_width(2)));
+            }
+            chart.configure_series_labels().background_style(WHITE).border_style(BLACK).draw()?;
+            area.present()?;
+        }
+        Ok(svg)
+    }
+}
+
 #[derive(Clone, Debug, Serialize)]
 struct Claim {
     text: String,
@@ -34,6 +71,7 @@
     pub about: String,
     figures: Vec<Figure>,
     claims: Vec<Claim>,
+    plots: Vec<Plot>,
 }
 
 impl Outcome {
@@ -45,6 +83,10 @@
         self.claims.push(Claim { text: text.into(), holds });
     }
 
+    pub fn plot(&mut self, title: impl Into<String>, lines: Vec<(&'static str, Vec<(f64, f64)>)>) {
+        self.plots.push(Plot { title: title.into(), lines });
+    }
+
     pub fn holds(&self) -> bool {
         self.claims.iter().all(|c| c.holds)
     }
@@ -66,7 +108,11 @@
 /// The outcomes as one page of HTML.
 pub fn page(outcomes: &[Outcome]) -> String {
     let escape = |text: &str| text.replace('&', "&amp;").replace('<', "&lt;");
-    let parts = outcomes.iter().map(|o| format!("<pre>{}</pre>", escape(&o.to_string())));
+    let plots = |o: &Outcome| {
+        let drawn = o.plots.iter().map(|p| p.draw().unwrap_or_else(|e| escape(&format!("{}: {e}", p.title))));
+        drawn.collect::<String>()
+    };
+    let parts = outcomes.iter().map(|o| format!("<pre>{}</pre>{}", escape(&o.to_string()), plots(o)));
     let head = "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>rowanglade lab</title>";
     format!("{head}<h1>Lab</h1>{}</html>", parts.collect::<String>())
 }
--- /dev/null
+++ b/crates/lab/src/sites.rs
@@ -0,0 +1,207 @@
+//! A whole site is lost under load, and returns.
+
+use crate::outcome::{Experiment, Failure, Outcome};
+use crate::world::{self, Traffic, ZONE, block_on};
+use rowanglade_replay::Replay;
+use rowanglade_standin::{BoxPlan, Daemon, DiskBox, Entry, Fault, Site, Start, State, settings};
+use std::path::Path;
+use std::time::Duration;
+use tokio::time::Instant;
+
+pub fn experiments() -> Vec<Experiment> {
+    let about =
+        "a site of four boxes falls silent under load and returns cold: each box by itself, against [sites]";
+    vec![Experiment { name: "site-loss", about, run: loss }]
+}
+
+const SEED: u64 = 11;
+const RATE: f64 = 600.0;
+const SECONDS: f64 = 22.0;
+/// When the site falls silent, and when it is back.
+const GONE: f64 = 4.0;
+const BACK: f64 = 9.0;
+/// By then a loss should have been noticed.
+const NOTICED: f64 = 1.5;
+const FAR: std::ops::Range<usize> = 2..6;
+const INSTANCES: usize = 3;
+const VOLUMES: u64 = 60;
+/// Of [`settings`], but for how long a box is cold: what a cold one bears within three seconds, from which part of its
+/// power on; the multiple of its power that pushes it over; and the reserve of a volume on the plan `full`.
+const COLD_UNITS: f64 = 51.0;
+const COLD_FROM: f64 = 0.28;
+const WARM_WITHIN: f64 = 10.0;
+const WINDOW: f64 = 3.0;
+const MULTIPLE: f64 = 2.5;
+const RESERVE: f64 = 4.0;
+
+fn entry(each: &DiskBox, place: usize) -> Entry {
+    let zone = if FAR.contains(&place) { "negril" } else { ZONE };
+    Entry { zone: Some(zone.into()), ..Entry::of(each, State::Active) }
+}
+
+/// Units that a box that returned at 0 bears in the window that begins then, if the rule on cold boxes is kept.
+fn bears(from: f64) -> f64 {
+    let power = COLD_FROM + (1.0 - COLD_FROM) * ((from + WINDOW) / WARM_WITHIN).min(1.0);
+    let reserves = RESERVE * VOLUMES as f64 / FAR.end as f64;
+    COLD_UNITS * power / COLD_FROM + WINDOW * reserves * (MULTIPLE * power).min(1.0)
+}
+
+struct Round {
+    served: Vec<(f64, f64)>,
+    far: Vec<(f64, f64)>,
+    near: Vec<(f64, f64)>,
+    refused: f64,
+    failed: f64,
+    wordless: f64,
+    due: f64,
+    /// Requests that boxes of the lost site were sent while it was lost.
+    in_vain: f64,
+    /// From the return until a second in which nine of ten requests were served.
+    full_after: f64,
+    /// The most that a returned box got, as a part of what it bears.
+    worst: f64,
+    /// The most that a survivor got in a second, as a part of the most before the loss.
+    survivors: f64,
+}
+
+async fn round(trace: &Path, judged: bool) -> Result<Round, Failure> {
+    let plan = BoxPlan {
+        remember: true,
+        cold_from: COLD_FROM,
+        warm_within: Duration::from_secs_f64(WARM_WITHIN),
+        room: 512,
+        slots: 4,
+        ..world::plan(4, 6, 8)
+    };
+    let site = Site::start(&vec![plan; FAR.end], ZONE, SEED).await?;
+    for (place, each) in site.boxes.iter().enumerate() {
+        site.discovery.put(entry(each, place));
+    }
+    let mut daemons = Vec::new();
+    for me in 0..INSTANCES {
+        let mut settings = settings(&world::header(), INSTANCES, ZONE, FAR.end);
+        settings["azs"] = serde_json::json!([ZONE, "negril"]);
+        settings["my-number"] = me.into();
+        settings["rules"]["warm-within"] = ((WARM_WITHIN * 1e6) as u64).into();
+        daemons.push(Daemon::start(&Start {
+            name: format!("lab-{me}"),
+            program: std::env::current_exe()?,
+            args: vec!["rowanglade".into()],
+            settings,
+            discovery: site.discovery.addr(),
+            sockets: 1_024,
+            memory_mb: 192,
+            operator: judged.then(|| "[sites]\nhold_ms = 3000\n".to_string()),
+            meeting: None,
+        })?);
+    }
+    let boxes = site.boxes.clone();
+    let faults = async move {
+        // The first request is the beginning.
+        while boxes.iter().all(|b| b.counters().taken == 0) {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        let begun = Instant::now();
+        tokio::time::sleep_until(begun + Duration::from_secs_f64(GONE)).await;
+        FAR.for_each(|place| boxes[place].misbehave(Fault { silent: true, ..Fault::default() }));
+        tokio::time::sleep_until(begun + Duration::from_secs_f64(BACK)).await;
+        // Its processes were started again; the list does not know.
+        for place in FAR {
+            boxes[place].misbehave(Fault::default());
+            boxes[place].restart().await?;
+        }
+        Ok::<_, Failure>(begun)
+    };
+    let ask = Replay { retries: false, ..Replay::to(world::addresses(&daemons)) };
+    let (report, begun) = tokio::join!(world::run(trace, &ask), faults);
+    let (report, begun) = (report?, begun?);
+
+    let seen = |places: std::ops::Range<usize>| -> Vec<Vec<f64>> {
+        let times = |b: &DiskBox| {
+            b.seen().iter().map(|(at, _)| at.duration_since(begun).as_secs_f64()).collect::<Vec<f64>>()
+        };
+        places.map(|place| times(&site.boxes[place])).collect()
+    };
+    let per_second = |all: &[Vec<f64>]| -> Vec<(f64, f64)> {
+        let count = |s: usize| all.iter().flatten().filter(|at| **at as usize == s).count();
+        (0..SECONDS as usize).map(|s| (s as f64, count(s) as f64)).collect()
+    };
+    let (near, far) = (seen(0..FAR.start), seen(FAR));
+    let mut worst = 0.0f64;
+    for at in &far {
+        let back: Vec<f64> = at.iter().map(|at| at - BACK).filter(|at| *at >= 0.0).collect();
+        for (i, from) in back.iter().enumerate() {
+            let units = back[i..].iter().filter(|at| **at < from + WINDOW).count();
+            worst = worst.max(units as f64 / bears(*from));
+        }
+    }
+    let served: Vec<(f64, f64)> = (report.timeline.iter().enumerate())
+        .map(|(s, second)| (s as f64, second.served as f64 / second.due.max(1) as f64))
+        .collect();
+    let full = served.iter().find(|(s, part)| *s >= BACK && *part >= 0.9).map_or(f64::INFINITY, |(s, _)| *s);
+    let near = per_second(&near);
+    let peak = |from: f64, until: f64| {
+        near.iter().filter(|(s, _)| (from..until).contains(s)).map(|(_, n)| *n).fold(0.0, f64::max)
+    };
+    let total = report.total();
+    Ok(Round {
+        in_vain: far.iter().flatten().filter(|at| (GONE + NOTICED..BACK).contains(*at)).count() as f64,
+        far: per_second(&far),
+        survivors: peak(GONE, BACK) / peak(1.0, GONE).max(1.0),
+        near,
+        refused: total.refused as f64,
+        failed: total.failed as f64,
+        wordless: (total.lost + total.unsent) as f64,
+        due: total.due as f64,
+        full_after: full - BACK,
+        worst,
+        served,
+    })
+}
+
+fn loss() -> Result<Outcome, Failure> {
+    block_on(async {
+        let folder = tempfile::tempdir()?;
+        let trace = folder.path().join("made.trace");
+        let shape = Traffic {
+            rate: RATE,
+            seconds: SECONDS,
+            volumes: VOLUMES,
+            shards: FAR.end as u32,
+            hosts: INSTANCES as u32,
+            seed: SEED,
+        };
+        world::make(&trace, shape)?;
+        let mut out = Outcome::default();
+        let mut rounds = Vec::new();
+        for (judged, name) in [(false, "each box by itself"), (true, "[sites]")] {
+            let round = round(&trace, judged).await?;
+            out.figure(format!("{name}: requests"), round.due, "");
+            out.figure(format!("{name}: refused"), round.refused, "");
+            out.figure(format!("{name}: failed"), round.failed, "");
+            out.figure(format!("{name}: without a last word"), round.wordless, "");
+            out.figure(format!("{name}: sent to the lost site, once it could be noticed"), round.in_vain, "");
+            out.figure(format!("{name}: until nine of ten are served again"), round.full_after, "s");
+            out.figure(format!("{name}: of what a cold box bears, at worst"), round.worst, "");
+            out.figure(
+                format!("{name}: a second's most at survivors, of the most before"),
+                round.survivors,
+                "",
+            );
+            out.plot(
+                format!("{name}: requests a second at boxes"),
+                vec![("the lost site", round.far.clone()), ("the other", round.near.clone())],
+            );
+            out.plot(format!("{name}: part served, by second"), vec![("served", round.served.clone())]);
+            rounds.push(round);
+        }
+        let [alone, judged] = rounds.as_slice() else { return Err("two rounds".into()) };
+        out.claim("each request has one last word", alone.wordless + judged.wordless == 0.0);
+        out.claim("a lost site is sent a tenth as much in vain", judged.in_vain * 10.0 <= alone.in_vain);
+        out.claim("what returns gets no more than cold boxes bear", judged.worst <= 1.0);
+        out.claim("by itself each box would get more than that", alone.worst > 1.0);
+        out.claim("the loss does not multiply the load on survivors", judged.survivors <= 1.25);
+        out.claim("it comes back", judged.full_after.is_finite());
+        Ok(out)
+    })
+}
