--- a/tests/network/processes.rs
+++ b/tests/network/processes.rs
@@ -18,7 +18,8 @@
     Site::start(plans, "kingston", 5).await.expect("started")
 }
 
-pub fn program(site: &Site, shape: impl FnOnce(&mut Start)) -> Daemon {
+/// What the platform would tell so many instances of classes, plans and shards.
+pub fn told(instances: usize, shards: usize) -> serde_json::Value {
     let mapping = rowanglade_capture::Mapping::standard().expect("usable");
     let header = rowanglade_capture::Header {
         base_us: 0,
@@ -27,11 +28,15 @@
         plans: mapping.plans().to_vec(),
         anonymised: false,
     };
+    settings(&header, instances, "kingston", shards)
+}
+
+pub fn program(site: &Site, shape: impl FnOnce(&mut Start)) -> Daemon {
     let mut start = Start {
         name: "n1".into(),
         program: env!("CARGO_BIN_EXE_rowanglade").into(),
         args: Vec::new(),
-        settings: settings(&header, 1, "kingston", site.boxes.len()),
+        settings: told(1, site.boxes.len()),
         discovery: site.discovery.addr(),
         sockets: 256,
         memory_mb: 192,
--- a/tests/network/routes.rs
+++ b/tests/network/routes.rs
@@ -1,8 +1,9 @@
 //! Stories on routes: who gets a request, and what a new table changes for requests that are open.
 
+use crate::processes::told;
 use crate::site::*;
 use rowanglade_routing::{Source, Table, Terms, parse};
-use rowanglade_standin::{BoxPlan, Daemon, Entry, Signal, Site, Start, State, settings};
+use rowanglade_standin::{BoxPlan, Daemon, Entry, Signal, Site, Start, State};
 use std::time::Duration;
 
 fn operator(pool: &str) -> String {
@@ -89,19 +90,11 @@
     story(async {
         let site =
             Site::start(&[BoxPlan::default(), BoxPlan::default()], "kingston", 1).await.expect("started");
-        let mapping = rowanglade_capture::Mapping::standard().expect("usable");
-        let header = rowanglade_capture::Header {
-            base_us: 0,
-            sources: Vec::new(),
-            classes: mapping.classes().to_vec(),
-            plans: mapping.plans().to_vec(),
-            anonymised: false,
-        };
         let daemon = Daemon::start(&Start {
             name: "held".into(),
             program: env!("CARGO_BIN_EXE_rowanglade").into(),
             args: Vec::new(),
-            settings: settings(&header, 1, "kingston", 2),
+            settings: told(1, 2),
             discovery: site.discovery.addr(),
             sockets: 256,
             memory_mb: 192,
