Judge sites by the times that the module learns, and hold only what they hold

Seen in reading the whole change: (1) a returning site's latency was taken to an answer's last byte (actor.rs, ended), while the module's is taken to its head, so a target that writes slowly could restart the ramp; both now get one figure. (2) When a site changed, a target that discovery had drain was told to rest as well, and nobody told it that it was back: every request to it would have opened a connection. Only what a site or an operator holds rests now. (4) Two preambles stood twice in the tests.

Neither mend has a story of its own yet.

--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -359,22 +359,22 @@
             _ => {}
         }
         let over = self.requests.get(&id).is_none_or(|o| o.answer.is_none());
+        // What the answer takes on its way, once it has begun, says nothing of its target.
         let now = self.clock.now();
+        let answered = out.heard.filter(|at| *at >= whole).unwrap_or(now);
+        let took = answered.saturating_sub(out.sent.max(whole));
         // One whose client left tells nothing of its target.
         if let (Some(sites), Some(target)) = (&mut self.sites, self.targets.get(&out.node))
             && !(over && reply.outcome == Outcome::Cancelled)
         {
-            let took = now.saturating_sub(out.sent);
             sites.ended(now, &target.told.name, reply.outcome, out.heard.is_some(), Some(took));
         }
-        // What the answer takes on its way, once it has begun, says nothing of its target.
-        let answered = out.heard.filter(|at| *at >= whole).unwrap_or(self.clock.now());
         self.feed(Event::Outcome {
             id,
             attempt: number,
             node: out.node,
             outcome: reply.outcome,
-            took: answered.saturating_sub(out.sent.max(whole)),
+            took,
             over,
             used: reply.used,
             elsewhere: reply.elsewhere,
@@ -611,8 +611,13 @@
         };
         let (probes, changed) = (nodes(probes), nodes(changed));
         if !changed.is_empty() {
+            // One that discovery has drain is not held here: nobody would tell its connections that it is back.
             let rests = |node: &NodeId| {
-                self.targets.get(node).is_some_and(|t| self.view(&t.told).state == NodeState::Draining)
+                self.targets.get(node).is_some_and(|t| {
+                    let held =
+                        t.told.state == NodeState::In && self.view(&t.told).state == NodeState::Draining;
+                    held || self.maintenance.is_out(&t.told.name)
+                })
             };
             let (out, back): (Vec<NodeId>, Vec<NodeId>) = changed.into_iter().partition(rests);
             for (nodes, out) in [(out, true), (back, false)] {
--- a/tests/network/lost_site.rs
+++ b/tests/network/lost_site.rs
@@ -134,6 +134,13 @@
     }
 }
 
+/// Waits until each box of the far site has had its share.
+async fn busy(site: &Site) {
+    while FAR.map(|place| site.boxes[place].seen().len()).any(|seen| seen < 20) {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
 fn taken(site: &Site) -> usize {
     FAR.map(|place| site.boxes[place].seen().len()).sum()
 }
@@ -146,9 +153,7 @@
     story(async {
         let (site, daemons) = two_sites(600).await;
         let load = Load::start(&daemons);
-        while FAR.map(|place| site.boxes[place].seen().len()).any(|seen| seen < 20) {
-            tokio::time::sleep(Duration::from_millis(2)).await;
-        }
+        busy(&site).await;
         // The power goes: connections are reset and refused. The list knows of nothing.
         let lost = Instant::now();
         FAR.for_each(|place| site.boxes[place].kill());
@@ -201,9 +206,7 @@
     story(async {
         let (site, daemons) = two_sites(600).await;
         let load = Load::start(&daemons);
-        while FAR.map(|place| site.boxes[place].seen().len()).any(|seen| seen < 20) {
-            tokio::time::sleep(Duration::from_millis(2)).await;
-        }
+        busy(&site).await;
         for place in FAR.take(2) {
             site.boxes[place].misbehave(Fault { slow: 40.0, ..Fault::default() });
         }
@@ -221,9 +224,7 @@
     story(async {
         let (site, mut daemons) = two_sites(600).await;
         let load = Load::start(&daemons[..2]);
-        while FAR.map(|place| site.boxes[place].seen().len()).any(|seen| seen < 20) {
-            tokio::time::sleep(Duration::from_millis(2)).await;
-        }
+        busy(&site).await;
         // Nobody asks the third instance for anything; it is killed in the middle of it all.
         let third = daemons.pop().expect("three");
         for round in 0..4 {
--- a/tests/network/processes.rs
+++ b/tests/network/processes.rs
@@ -71,6 +71,18 @@
     }
 }
 
+/// A client whose deposit the first box has taken, and does not go on with for a while.
+async fn under_way(site: &Site, daemon: &Daemon, body: &str) -> TcpStream {
+    let until = tokio::time::Instant::now() + Duration::from_millis(800);
+    site.boxes[0].misbehave(Fault { stalled_until: Some(until), ..Fault::default() });
+    let mut open = TcpStream::connect(daemon.http).await.expect("connected");
+    open.write_all(request("deposit", "open", 0, body).as_bytes()).await.expect("written");
+    while site.boxes[0].counters().taken == 0 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    open
+}
+
 // Both processes live, clients open a connection for every request, and operators have the configuration read again:
 // nobody is turned back unheard, and both end only when told.
 #[test]
@@ -131,13 +143,7 @@
         let folder = tempfile::tempdir().expect("a folder");
         let first = program(&site, |s| s.meeting = meets(folder.path(), None));
         healthy(&first).await;
-        let stalled = tokio::time::Instant::now() + Duration::from_millis(700);
-        site.boxes[0].misbehave(Fault { stalled_until: Some(stalled), ..Fault::default() });
-        let mut open = TcpStream::connect(first.http).await.expect("connected");
-        open.write_all(request("deposit", "d1", 0, "bytes").as_bytes()).await.expect("written");
-        while site.boxes[0].counters().taken == 0 {
-            tokio::time::sleep(Duration::from_millis(1)).await;
-        }
+        let mut open = under_way(&site, &first, "bytes").await;
         let second = program(&site, |s| s.meeting = meets(folder.path(), Some(first.http)));
         healthy(&second).await;
         first.signal(Signal::SIGTERM).expect("it runs");
@@ -222,14 +228,8 @@
             s.meeting = meets(folder.path(), None);
         });
         healthy(&daemon).await;
-        // Under way all along: its box does not go on before it is told.
-        let until = tokio::time::Instant::now() + Duration::from_millis(800);
-        site.boxes[0].misbehave(Fault { stalled_until: Some(until), ..Fault::default() });
-        let mut open = TcpStream::connect(daemon.http).await.expect("connected");
-        open.write_all(request("deposit", "open", 0, "x").as_bytes()).await.expect("written");
-        while site.boxes[0].counters().taken == 0 {
-            tokio::time::sleep(Duration::from_millis(1)).await;
-        }
+        // Under way all along.
+        let mut open = under_way(&site, &daemon, "x").await;
         let mut crowd = Vec::new();
         let mut idle = Vec::new();
         for i in 0..240 {
