Hand the places of objects over to a successor, and tell it of those placed meanwhile

Change: the predecessor gives all places with the rest of what it owns, and from then on either process tells the other each place that it sees, over the link and in a mailbox of their own, so that they cannot crowd out operators' calls. Late news that a shard lacks an object does not hide where it was placed. Not taken: asking the other process for each object, which puts a round trip before every read; a new version of the words, since a build that does not know the field passes over it.

--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -8,17 +8,24 @@
 //! Only what is worth it is kept: where new objects were placed, and objects for which a request and a target once
 //! disagreed. All else is where requests say it is. The oldest are forgotten beyond a number; a request for them goes
 //! where it says, as it would without this.
+//!
+//! Two processes of one initiator, of which one replaces the other, tell each other what they see: all of it at once,
+//! and then each piece of news. Whatever is told late or twice is news of an older answer, and the next answer of a
+//! target puts it right.
 
 #![forbid(unsafe_code)]
 
+use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, VecDeque};
 
 /// A volume and a piece of its data.
 pub type Object = (u64, u64);
 pub type Shard = u32;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Seen {
+/// What was seen of an object.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Seen {
     /// A target of this shard served it.
     At(Shard),
     /// A target of this shard turned it away; who has it was not seen.
@@ -49,15 +56,33 @@
     }
 
     /// A target of `shard` served a request for it that named `told`.
-    pub fn served(&mut self, object: Object, told: Option<Shard>, shard: Shard) {
-        if told != Some(shard) || self.seen.contains_key(&object) {
-            self.keep(object, Seen::At(shard));
+    /// What it returns is news, to another process too.
+    pub fn served(&mut self, object: Object, told: Option<Shard>, shard: Shard) -> Option<(Object, Seen)> {
+        if told == Some(shard) && !self.seen.contains_key(&object) {
+            return None;
         }
+        self.keep(object, Seen::At(shard))
     }
 
     /// A target of `shard` turned a request for it away as none of its business.
-    pub fn turned_away(&mut self, object: Object, shard: Shard) {
-        self.keep(object, Seen::NotAt(shard));
+    pub fn turned_away(&mut self, object: Object, shard: Shard) -> Option<(Object, Seen)> {
+        self.keep(object, Seen::NotAt(shard))
+    }
+
+    /// All of it, the oldest first.
+    pub fn all(&self) -> impl Iterator<Item = (Object, Seen)> {
+        self.order.iter().filter_map(|object| Some((*object, *self.seen.get(object)?)))
+    }
+
+    /// Another process saw this.
+    pub fn learn(&mut self, news: impl IntoIterator<Item = (Object, Seen)>) {
+        for (object, seen) in news {
+            // Where it was placed says more than that one shard does not have it.
+            let known = matches!((self.seen.get(&object), seen), (Some(Seen::At(at)), Seen::NotAt(not)) if *at != not);
+            if !known {
+                self.keep(object, seen);
+            }
+        }
     }
 
     pub fn len(&self) -> usize {
@@ -68,8 +93,9 @@
         self.seen.is_empty()
     }
 
-    fn keep(&mut self, object: Object, seen: Seen) {
-        if self.seen.insert(object, seen).is_none() {
+    fn keep(&mut self, object: Object, seen: Seen) -> Option<(Object, Seen)> {
+        let before = self.seen.insert(object, seen);
+        if before.is_none() {
             self.order.push_back(object);
             if self.order.len() > self.most
                 && let Some(oldest) = self.order.pop_front()
@@ -77,6 +103,7 @@
                 self.seen.remove(&oldest);
             }
         }
+        (before != Some(seen)).then_some((object, seen))
     }
 }
 
@@ -100,7 +127,7 @@
     #[test]
     fn where_requests_and_targets_agree_nothing_is_kept() {
         let mut places = Places::new(8);
-        (0..100).for_each(|piece| places.served((1, piece), Some(3), 3));
+        assert!((0..100).all(|piece| places.served((1, piece), Some(3), 3).is_none()));
         assert!(places.is_empty());
     }
 
@@ -122,6 +149,32 @@
         assert_eq!(places.find(OBJECT, Some(2)), Some(2));
     }
 
+    // A successor began without them: its first requests for what the predecessor had placed were turned away.
+    #[test]
+    fn what_another_process_saw_is_known_here_and_told_once() {
+        let (mut first, mut second) = (Places::new(8), Places::new(8));
+        first.served(OBJECT, None, 5);
+        first.turned_away((7, 8), 2);
+        second.learn(first.all());
+        assert_eq!(second.find(OBJECT, Some(2)), Some(5));
+        assert_eq!(second.all().collect::<Vec<_>>(), first.all().collect::<Vec<_>>());
+        let news = first.served((7, 8), Some(3), 3);
+        assert_eq!(news, Some(((7, 8), Seen::At(3))));
+        assert_eq!(first.served((7, 8), Some(3), 3), None, "no news");
+        second.learn(news);
+        assert_eq!(second.find((7, 8), Some(2)), Some(3));
+    }
+
+    #[test]
+    fn late_news_that_a_shard_lacks_an_object_does_not_hide_where_it_is() {
+        let mut places = Places::new(8);
+        places.served(OBJECT, None, 5);
+        places.learn([(OBJECT, Seen::NotAt(2))]);
+        assert_eq!(places.find(OBJECT, Some(2)), Some(5));
+        places.learn([(OBJECT, Seen::NotAt(5))]);
+        assert_eq!(places.find(OBJECT, Some(2)), Some(2), "it was turned away there");
+    }
+
     #[test]
     fn beyond_their_number_the_oldest_are_forgotten() {
         let mut places = Places::new(4);
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -19,7 +19,7 @@
 use rowanglade_fleet_state::exchange::Milli;
 use rowanglade_fleet_state::{Exchange, Message as PeerMessage, Peer, Store};
 use rowanglade_maintenance::{Maintenance, State};
-use rowanglade_placement::Places;
+use rowanglade_placement::{Object, Places, Seen};
 use rowanglade_routing::BoxInfo;
 use std::cell::Cell;
 use std::cmp::Reverse;
@@ -79,6 +79,8 @@
     pub upgrades: mpsc::Receiver<Upgrade>,
     /// Calls that hold here are told to the other process, if there is one.
     pub calls: mpsc::Sender<Call>,
+    /// So is where objects are seen.
+    pub seen: mpsc::Sender<(Object, Seen)>,
     /// Absent where sites are not judged.
     pub sites: Option<Watch>,
 }
@@ -113,6 +115,7 @@
     operations: mpsc::Receiver<Operation>,
     upgrades: mpsc::Receiver<Upgrade>,
     calls: mpsc::Sender<Call>,
+    seen: mpsc::Sender<(Object, Seen)>,
     maintenance: Maintenance,
     places: Places,
     /// Absent where sites are not judged.
@@ -154,7 +157,7 @@
         connect: Connect,
         beside: Beside,
     ) -> Core {
-        let Beside { mut table, fleet, operations, upgrades, calls, sites } = beside;
+        let Beside { mut table, fleet, operations, upgrades, calls, seen, sites } = beside;
         let Inbox { rx, tx, ready, open, ids, boxes } = inbox;
         let routes = Routes::new(Arc::clone(&table.borrow_and_update()));
         Core {
@@ -181,6 +184,7 @@
             operations,
             upgrades,
             calls,
+            seen,
             maintenance: Maintenance::default(),
             places: Places::new(PLACES),
             sites: sites.map(Watched::new),
@@ -336,10 +340,14 @@
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some(out) = open.attempts.get_mut(number.0 as usize).and_then(Option::take) else { return };
         let (object, told) = ((open.order.volume, open.order.piece), open.order.shard);
-        match (self.targets.get(&out.node).map(|t| t.told.shard), reply.outcome) {
+        let seen = match (self.targets.get(&out.node).map(|t| t.told.shard), reply.outcome) {
             (Some(shard), Outcome::Served) => self.places.served(object, told, shard),
             (Some(shard), Outcome::Over) => self.places.turned_away(object, shard),
-            _ => {}
+            _ => None,
+        };
+        if let Some(news) = seen {
+            // Without another process nobody takes it; what finds no room is learned there by asking.
+            let _ = self.seen.try_send(news);
         }
         let upload = open.order.more.clone();
         let begun = upload.as_ref().is_some_and(|u| u.begun());
@@ -534,7 +542,8 @@
                     |node| self.names.node_name(node).map(str::to_string),
                     |volume| self.names.volume_name(volume).map(str::to_string),
                 );
-                let given = Given { maintenance: self.maintenance.clone(), module };
+                let places = self.places.all().collect();
+                let given = Given { maintenance: self.maintenance.clone(), module, places };
                 let _ = answer.send(Box::new(given));
                 self.hand(true);
             }
@@ -548,8 +557,9 @@
                 let _ = answer.send(());
             }
             Upgrade::Take(given, answer) => {
-                let Given { maintenance, module } = *given;
+                let Given { maintenance, module, places } = *given;
                 self.maintenance = maintenance;
+                self.places.learn(places);
                 // What they change of the list is told before what was learned, which is void for another start.
                 let nodes: Vec<NodeId> = self.targets.keys().copied().collect();
                 for node in nodes {
@@ -567,6 +577,7 @@
             Upgrade::Call(call) => {
                 self.call(&call);
             }
+            Upgrade::Seen(object, seen) => self.places.learn([(object, seen)]),
         }
     }
 
@@ -815,6 +826,7 @@
                 let (_operators, operations) = mpsc::channel(1);
                 let (_keeper, upgrades) = mpsc::channel(1);
                 let (calls, _calls) = mpsc::channel(1);
+                let (seen, _seen) = mpsc::channel(1);
                 let core = Core::new(
                     gateway,
                     names,
@@ -822,7 +834,7 @@
                     inbox,
                     list,
                     connect(),
-                    Beside { table, fleet: None, operations, upgrades, calls, sites: None },
+                    Beside { table, fleet: None, operations, upgrades, calls, seen, sites: None },
                 );
                 tokio::select! {
                     () = core.run() => panic!("the core ended"),
--- a/src/core/message.rs
+++ b/src/core/message.rs
@@ -5,6 +5,7 @@
 use crate::upgrade::Given;
 use bytes::Bytes;
 use rowanglade_fleet_state::Peer;
+use rowanglade_placement::{Object, Seen};
 use serde::{Deserialize, Serialize};
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
@@ -141,6 +142,8 @@
     Take(Box<Given>, oneshot::Sender<()>),
     /// An operator's call came to the other process.
     Call(Call),
+    /// The other process saw where an object is, or is not.
+    Seen(Object, Seen),
 }
 
 /// What the list's actor is asked.
--- a/src/node.rs
+++ b/src/node.rs
@@ -2,12 +2,12 @@
 
 use crate::config::{Config, ConfigError, Decided, Iscsi, Reload, Routing};
 use crate::core::{
-    self, AccessLog, Beside, Call, Clock, Connect, Core, Fleet, Handle, Listed, Loaded, Message, Wire,
+    self, AccessLog, Beside, Clock, Connect, Core, Fleet, Handle, Listed, Loaded, Message, Wire,
 };
 use crate::interface::{ListKind, NodeState};
 use crate::net::{Budget, Phase, admin, fleet, http, iscsi};
 use crate::settings::Settings;
-use crate::upgrade::{Begun, Controls, Keeper, Listeners, Meeting};
+use crate::upgrade::{Begun, Controls, Keeper, Listeners, Meeting, Told};
 use rowanglade_routing::check::Decision;
 use rowanglade_routing::{BoxInfo, Table};
 use std::cell::Cell;
@@ -52,6 +52,9 @@
 /// Operators' calls that may wait for the core.
 const OPERATIONS: usize = admin::MOST_CALLS;
 
+/// News of places that may wait for the other process: more than a handover's second brings.
+const SEEN: usize = 1_024;
+
 /// Datagrams to peers that may wait; what finds no room is lost, as it could be on its way.
 const PEER_MAILBOX: usize = 256;
 
@@ -238,7 +241,7 @@
     phase: Rc<watch::Sender<Phase>>,
     budget: Budget,
     /// Absent where no process can replace this one.
-    keeper: Option<(Keeper, Controls, mpsc::Receiver<Call>)>,
+    keeper: Option<(Keeper, Controls, Told)>,
     classes: Vec<(String, Duration)>,
     /// How long finishing may take once the end is told.
     patience: Duration,
@@ -320,12 +323,14 @@
         };
         let (upgrades, asked_of_core) = mpsc::channel(OPERATIONS);
         let (tell_call, calls) = mpsc::channel(OPERATIONS);
+        let (tell_seen, seen) = mpsc::channel(SEEN);
         let beside = Beside {
             table: in_force,
             fleet,
             operations,
             upgrades: asked_of_core,
             calls: tell_call,
+            seen: tell_seen,
             sites: config.sites,
         };
         actix_rt::spawn(Core::new(gateway, names, clock, inbox, ask, connect, beside).run());
@@ -353,7 +358,7 @@
         let keeper = keeper.map(|keeper| {
             let (ready, listeners) = (core.readiness(), Listeners(passed));
             let (phase, budget) = (Rc::clone(&phase), budget.clone());
-            (keeper, Controls { core: upgrades, ready, phase, budget, listeners }, calls)
+            (keeper, Controls { core: upgrades, ready, phase, budget, listeners }, Told { calls, seen })
         });
         Ok(Node { core, reloads, http, iscsi, admin, phase, budget, keeper, classes, patience })
     }
@@ -408,7 +413,7 @@
         let mut front = Box::pin(http::serve(self.http, front));
         match self.keeper {
             // It turns the phase once what is owned is this process's.
-            Some((keeper, controls, calls)) => drop(actix_rt::spawn(keeper.run(controls, calls))),
+            Some((keeper, controls, told)) => drop(actix_rt::spawn(keeper.run(controls, told))),
             None => drop(self.phase.send_replace(Phase::Serving)),
         }
         // Sessions go to the process that serves.
--- a/src/upgrade/keeper.rs
+++ b/src/upgrade/keeper.rs
@@ -6,6 +6,7 @@
 use crate::upgrade::Meeting;
 use crate::upgrade::wire::{self, Given, Message, Reader, Share, Welcome};
 use rowanglade_handover::{Action, Event, Link, Machine, Word};
+use rowanglade_placement::{Object, Seen};
 use std::collections::{HashMap, VecDeque};
 use std::fs::{File, TryLockError};
 use std::io;
@@ -67,6 +68,15 @@
 
 type Outgoing = (Message, Vec<OwnedFd>);
 
+/// What the core tells for the other process.
+#[derive(Debug)]
+pub struct Told {
+    /// Operators' calls that it has taken.
+    pub calls: mpsc::Receiver<Call>,
+    /// Where it saw objects.
+    pub seen: mpsc::Receiver<(Object, Seen)>,
+}
+
 /// The actor.
 #[derive(Debug)]
 pub struct Keeper {
@@ -86,8 +96,8 @@
     given: Option<Box<Given>>,
     /// All that is owned here, on its way to the successor.
     frozen: Option<Box<Given>>,
-    /// Operators' calls that came to the other process.
-    calls: VecDeque<Call>,
+    /// What the core is told of the other process's calls and objects.
+    news: VecDeque<Upgrade>,
     /// Absent until this process has all that it needs to serve.
     controls: Option<Controls>,
 }
@@ -112,7 +122,7 @@
             welcome: None,
             given: None,
             frozen: None,
-            calls: VecDeque::new(),
+            news: VecDeque::new(),
             controls: None,
         };
         loop {
@@ -135,8 +145,8 @@
         }
     }
 
-    /// Runs for as long as the process does. `taken`: operators' calls that the core has taken.
-    pub async fn run(mut self, controls: Controls, mut taken: mpsc::Receiver<Call>) {
+    /// Runs for as long as the process does.
+    pub async fn run(mut self, controls: Controls, mut told: Told) {
         let mut ready = controls.ready.clone();
         self.controls = Some(controls);
         let mut prepared = false;
@@ -147,11 +157,12 @@
                     tracing::warn!(%error, ?action, "a handover went wrong");
                 }
             }
-            while let Some(call) = self.calls.pop_front() {
-                self.ask(|_: oneshot::Sender<()>| Upgrade::Call(call)).await;
+            while let Some(news) = self.news.pop_front() {
+                self.ask(|_: oneshot::Sender<()>| news).await;
             }
             tokio::select! {
-                Some(call) = taken.recv() => self.to_all(&Message { call: Some(call), ..Message::default() }),
+                Some(seen) = told.seen.recv() => self.to_all(&Message { seen: Some(seen), ..Message::default() }),
+                Some(call) = told.calls.recv() => self.to_all(&Message { call: Some(call), ..Message::default() }),
                 Ok(_) = ready.wait_for(|ready| *ready), if !prepared => {
                     prepared = true;
                     self.todo.extend(self.machine.handle(Event::Prepared));
@@ -203,8 +214,9 @@
             Input::Heard(link, message, fds) => (link, message, fds),
             Input::Lost(link) => return self.lost(link),
         };
-        let Message { word, welcome, given, call, share } = *message;
-        self.calls.extend(call);
+        let Message { word, welcome, given, call, seen, share } = *message;
+        self.news.extend(call.map(Upgrade::Call));
+        self.news.extend(seen.map(|(object, seen)| Upgrade::Seen(object, seen)));
         if let (Some(share), Some(controls)) = (share, &self.controls) {
             controls.budget.share(share.descriptors);
         }
--- a/src/upgrade/mod.rs
+++ b/src/upgrade/mod.rs
@@ -4,7 +4,7 @@
 mod keeper;
 mod wire;
 
-pub use keeper::{Begun, Controls, Keeper, Listeners};
+pub use keeper::{Begun, Controls, Keeper, Listeners, Told};
 pub use wire::{Given, Message, Share, Welcome, send};
 
 use std::fs::File;
--- a/src/upgrade/wire.rs
+++ b/src/upgrade/wire.rs
@@ -7,6 +7,7 @@
 use bytes::{Buf, BufMut, BytesMut};
 use rowanglade_handover::Word;
 use rowanglade_maintenance::Maintenance;
+use rowanglade_placement::{Object, Seen};
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
     SendFlags, recvmsg, sendmsg,
@@ -47,6 +48,9 @@
 pub struct Given {
     pub maintenance: Maintenance,
     pub module: Handed<String, String>,
+    /// Where objects were seen, the oldest first. A build that does not know of it learns that again.
+    #[serde(default)]
+    pub places: Vec<(Object, Seen)>,
 }
 
 /// A message. What it does not carry is absent; fields that another build adds are passed over.
@@ -58,6 +62,8 @@
     pub given: Option<Box<Given>>,
     /// An operator's call that came to the other process.
     pub call: Option<Call>,
+    /// Where an object was seen by the other process.
+    pub seen: Option<(Object, Seen)>,
     /// The predecessor has let go of some of its part.
     pub share: Option<Share>,
 }
--- a/tests/network/upgrade.rs
+++ b/tests/network/upgrade.rs
@@ -299,3 +299,42 @@
         clients.iter().for_each(|c| c.abort());
     });
 }
+
+// Clients that began to write before an object was placed name another shard. The successor sent them where they said,
+// and they were turned away there: it knew of nothing that the predecessor had placed.
+#[test]
+fn a_successor_asks_for_objects_where_either_process_saw_them() {
+    story(async {
+        let folder = Folder::new();
+        let script = |name: &str| (0..999).map(|_| ok(name)).collect();
+        let (zero, one) = (peer(script("0")).await, peer(script("1")).await);
+        let lines = [line(zero.addr, 0, "active"), line(one.addr, 1, "active")];
+        let first = process(&folder.0, &lines, None).await;
+        healthy(&first).await;
+        let object = |text: String, piece: &str| text.replace("7f3a9c21e0b4d655", piece);
+        // The one that has it answers with its shard; a read names the other.
+        let other = |answer: &str| {
+            1 - answer.trim().chars().last().and_then(|c| c.to_digit(2)).expect("0 or 1") as i32
+        };
+        let mut open = TcpStream::connect(first.http).await.expect("connected");
+        let before = ask_on(&mut open, &request("deposit", "p1", -1, "x")).await;
+
+        let second = process(&folder.0, &lines, None).await;
+        healthy(&second).await;
+        let read = request("view", "p2", other(&before), "");
+        assert_eq!(ask(second.http, &read).await, before, "handed over");
+
+        // The predecessor finishes what it holds, and places another.
+        let piece = "00000000000000aa";
+        let during = ask_on(&mut open, &object(request("deposit", "p3", -1, "x"), piece)).await;
+        assert!(during.starts_with("200 close "), "{during}");
+        let placed = during.replace("close ", "");
+        // The news is on its way; until it is there a read goes where its client says. The story has a limit.
+        for asked in 0.. {
+            let read = object(request("view", &format!("p4-{asked}"), other(&placed), ""), piece);
+            if ask(second.http, &read).await == placed {
+                break;
+            }
+        }
+    });
+}
