Open a list watch that fell silent anew at once, not in this instance's turn

Log of n0: 0.728 CALL 10000 from=0 12.526 discovery call failed error=no answer in time 21.060 CALL 1 from=0 The watch fell silent; its news counts as told 2 s after its wait (12.73), and 1 s later nothing may be sent by the old list; the next call came 8.5 s after the failure. Until then boxes that drained got new requests.

Ruled out: a list that came and was not obeyed (no send to a box followed the news that it drains in any log); connections that come up late (the decisions themselves were late, not only the writes); an overbooked discovery (its quick calls took 0.25 s at most, and its refusals are 503 or a reset, not silence).

At fault: discovery.rs, call(), which told the core of silence as of any failure, and the core's spread of calls over the span of all instances' turns (rules.rs, turn_to_ask), which is right where discovery is down or overbooked.

Change: when a list is asked for again after a call's end is decided in src/net/http/watch.rs, without I/O. Silence is met by one call at once, and only a second one is a failure; a watch's patience is 1.5 s (1.8 s), so that half of what the rule leaves remains for that call. Not taken: a shorter spread in the module, which would make a storm of every fall of discovery; a shorter patience, which would ask an overbooked discovery twice.

--- a/src/net/http/discovery.rs
+++ b/src/net/http/discovery.rs
@@ -3,6 +3,7 @@
 use crate::core::{Handle, ListMessage, Listed, Message, Wire};
 use crate::interface::{ListKind, NodeState};
 use crate::net::http::dial;
+use crate::net::http::watch::{AT_ONCE, End, Next, Watch, patience};
 use awc::Client;
 use rowanglade_routing::BoxInfo;
 use serde::{Deserialize, Serialize};
@@ -10,15 +11,6 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 
-/// How long a watch waits for news. Longer ones cost discovery less, and tell later that it has fallen silent.
-const HOLD: Duration = Duration::from_secs(10);
-/// A watch that does not wait.
-const AT_ONCE: Duration = Duration::from_millis(1);
-/// An answer later than this past its wait is a failed call: what it would tell counts as told by then.
-const PATIENCE: Duration = Duration::from_millis(1_800);
-/// The same for a call that does not wait. Calls are served one after another, and giving up early on a busy
-/// discovery would only add to its queue.
-const PATIENCE_AT_ONCE: Duration = Duration::from_millis(5_000);
 /// A connection may take this long to come up at least, and stand idle this long.
 const CONNECT: Duration = Duration::from_millis(500);
 const IDLE: Duration = Duration::from_secs(5);
@@ -166,14 +158,15 @@
     pub async fn run(mut self, mut asked: mpsc::Receiver<ListMessage>) {
         let mut addr = self.addr.clone();
         loop {
-            // The first call only sets the watch up and brings what was missed; it does not wait, so that the
-            // core soon knows that it is told again.
+            let mut watch = Watch::default();
             let mut call = tokio::select! {
                 message = asked.recv() => match message {
-                    Some(ListMessage::Watch) => Some(AT_ONCE),
+                    Some(ListMessage::Watch) => Some(watch.first()),
                     Some(ListMessage::Fetch) => {
                         self.version = None;
-                        self.call(Duration::ZERO).await;
+                        if matches!(self.call(AT_ONCE).await, Some(End::Silent | End::Failed)) {
+                            self.failed().await;
+                        }
                         None
                     }
                     None => return,
@@ -186,7 +179,14 @@
                 call = tokio::select! {
                     biased;
                     () = changed(&mut addr) => Some(self.moved()),
-                    told = self.call(hold) => told.then_some(HOLD),
+                    end = self.call(hold) => match end.map(|end| watch.next(end)) {
+                        Some(Next::Call(hold)) => Some(hold),
+                        Some(Next::Stop) => {
+                            self.failed().await;
+                            None
+                        }
+                        None => None,
+                    },
                 };
             }
         }
@@ -200,33 +200,38 @@
         AT_ONCE
     }
 
-    /// One call, and its news to the core. False: it failed.
-    async fn call(&mut self, hold: Duration) -> bool {
+    /// One call, and its news to the core. None: there is no discovery.
+    async fn call(&mut self, hold: Duration) -> Option<End> {
         if self.client.is_none() {
             // What sessions tell are all the changes there are, so the core may take itself as told.
-            let message = Message::List { wire: Wire::Http, kind: ListKind::Changes, entries: Vec::new() };
-            self.core.tell(message).await;
-            return false;
+            self.tell(ListKind::Changes, Vec::new()).await;
+            return None;
         }
-        let patience = if hold > AT_ONCE { hold + PATIENCE } else { PATIENCE_AT_ONCE };
-        let news = tokio::time::timeout(patience, self.get(hold)).await;
-        let (ok, kind, entries) = match news {
+        let end = match tokio::time::timeout(patience(hold), self.get(hold)).await {
             Ok(Ok(page)) => {
                 self.version = Some(page.version);
                 let kind = if page.full { ListKind::Full } else { ListKind::Changes };
-                (true, kind, page.servers.into_iter().map(Listed::from).collect())
+                self.tell(kind, page.servers.into_iter().map(Listed::from).collect()).await;
+                End::Told
             }
-            failed => {
-                let error = match failed {
-                    Ok(Err(error)) => error,
-                    _ => "no answer in time".to_string(),
-                };
+            Ok(Err(error)) => {
                 tracing::info!(%error, "discovery call failed");
-                (false, ListKind::Failed, Vec::new())
+                End::Failed
+            }
+            Err(_) => {
+                tracing::info!(?hold, "discovery has fallen silent");
+                End::Silent
             }
         };
+        Some(end)
+    }
+
+    async fn failed(&self) {
+        self.tell(ListKind::Failed, Vec::new()).await;
+    }
+
+    async fn tell(&self, kind: ListKind, entries: Vec<Listed>) {
         self.core.tell(Message::List { wire: Wire::Http, kind, entries }).await;
-        ok
     }
 
     async fn get(&self, hold: Duration) -> Result<Page, String> {
--- a/src/net/http/mod.rs
+++ b/src/net/http/mod.rs
@@ -6,6 +6,7 @@
 mod message;
 mod server;
 mod target;
+mod watch;
 
 pub use clients::Clients;
 pub use discovery::{Address, Directory, Page, remembered};
--- a/tests/network/http.rs
+++ b/tests/network/http.rs
@@ -246,6 +246,34 @@
     });
 }
 
+// After a call that fell silent the next one waited for this instance's turn among all of them, and boxes that drained
+// meanwhile were sent to.
+#[test]
+fn discovery_that_falls_silent_is_asked_anew_at_once() {
+    story(async {
+        let mut kept = peer(vec![ok("kept")]).await;
+        let page = |version, entry: &str| {
+            ok(&format!(r#"{{"version":{version},"full":false,"servers":[{entry}]}}"#))
+        };
+        let entry = line(kept.addr, 0, "active").replace("s-0", "s-1");
+        let mut list = peer(vec![Step::Silence, page(2, &entry), Step::Silence]).await;
+        let gone = peer(vec![]).await;
+        // Turns of 3 s: the shortest wait for one after a failure is half of that.
+        let change = |json: &mut serde_json::Value| json["settings"]["siblings"] = 30.into();
+        let node = start_with(&[line(gone.addr, 0, "active")], Some(list.addr), None, change).await;
+        assert_snapshot!(saw(&mut list, 2).await, @r"
+        GET /discovery/hosts?from=1&hold_ms=1 HTTP/1.1
+        closed
+        ");
+        let silent = std::time::Instant::now();
+        assert_snapshot!(saw(&mut list, 1).await, @"GET /discovery/hosts?from=1&hold_ms=1 HTTP/1.1");
+        assert!(silent.elapsed().as_millis() < 1_200, "{:?}", silent.elapsed());
+        saw(&mut list, 1).await;
+        assert_eq!(ask(node.http, &request("view", "q1", 0, "")).await, "200 kept");
+        saw(&mut kept, 1).await;
+    });
+}
+
 // A watch at the old address would hold for 10 s and bring nothing: it is dropped, and the new service, which
 // may count its versions in its own way, is asked for the whole list.
 #[test]
