Begin with any box for new objects: all instances began with the first in the list

At fault: rules.rs, place(): before the first answer service() is 0 for all, so a shade of a tenth of nothing decides nothing, the first in the list's order is taken, and from then on it is the one heard before, which is preferred. After a release that killed most instances all of them turned to one box.

Change: an unknown cost counts as 1. An initiator that is told no seed draws one of its own (config.rs), and the stand-in gives each daemon its own. Not taken: a turn by the instance's number, which a restart repeats.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -8,6 +8,7 @@
 mod replays;
 mod routes;
 mod sites;
+mod subsets;
 mod upgrade;
 mod world;
 
@@ -28,7 +29,7 @@
 /// All experiments, in the order of `list`.
 fn experiments() -> Vec<Experiment> {
     let all = [replays::experiments(), capture::experiments(), routes::experiments(), fleet::experiments()];
-    [all.concat(), upgrade::experiments(), sites::experiments()].concat()
+    [all.concat(), upgrade::experiments(), sites::experiments(), subsets::experiments()].concat()
 }
 
 fn main() -> ExitCode {
--- a/crates/standin/src/daemon.rs
+++ b/crates/standin/src/daemon.rs
@@ -3,6 +3,7 @@
 use rowanglade_capture::{Header, Repeat};
 use serde_json::{Value, json};
 use std::collections::VecDeque;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io::{self, BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -139,6 +140,13 @@
     line[from..].split(' ').next().map(|v| v.trim_matches('"'))
 }
 
+/// Of a daemon's random numbers: the same for the same name, and another for every other, as on the platform.
+fn seed(name: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    name.hash(&mut hasher);
+    hasher.finish()
+}
+
 impl Daemon {
     /// Starts a daemon and waits until it listens.
     ///
@@ -151,7 +159,7 @@
         let listen = listen.map_or("127.0.0.1:0".to_string(), |l| l.to_string());
         let mut text = json!({
             "name": start.name, "listen": listen, "discovery": start.discovery.to_string(),
-            "seed": "0000000000000005", "limits": {"memory_mb": start.memory_mb, "sockets": start.sockets},
+            "seed": format!("{:016x}", seed(&start.name)), "limits": {"memory_mb": start.memory_mb, "sockets": start.sockets},
             "settings": start.settings,
         });
         let mut command = Command::new(&start.program);
--- a/src/config.rs
+++ b/src/config.rs
@@ -17,6 +17,7 @@
 use serde::de::IgnoredAny;
 use std::collections::HashMap;
 use std::fmt;
+use std::hash::{BuildHasher, Hasher, RandomState};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -252,7 +253,6 @@
         let rules = rowanglade_routing::parse(&sources, &terms)
             .map_err(|e| ConfigError::new(e.origin.trim_end_matches(": "), e.problem))?;
         let iscsi = operator.iscsi.map(|table| table.check(&file.settings)).transpose()?;
-        let seed = file.seed.as_deref().unwrap_or("0");
         let sites = operator.sites.map(|sites| sites.check(&file.settings)).transpose()?;
         let subset = operator.subset.map(|subset| subset.check(&file.settings)).transpose()?;
         let config = Config {
@@ -261,8 +261,12 @@
             discovery: pick("LB_DISCOVERY", "discovery", file.discovery).map(address).transpose()?,
             admin: pick("LB_ADMIN", "admin", file.admin).map(address).transpose()?,
             meeting: env("TMPDIR").map(PathBuf::from),
-            seed: u64::from_str_radix(seed, 16)
-                .map_err(|e| ConfigError::new("seed", format!("{seed:?}: {e}")))?,
+            seed: match file.seed.as_deref() {
+                Some(seed) => u64::from_str_radix(seed, 16)
+                    .map_err(|e| ConfigError::new("seed", format!("{seed:?}: {e}")))?,
+                // Instances that drew the same numbers would all choose alike.
+                None => RandomState::new().build_hasher().finish(),
+            },
             known: file.known,
             settings: file.settings,
             limits: file.limits.check()?,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -424,7 +424,8 @@
             if self.cold_until(now, node, h, held) > now {
                 continue;
             }
-            let cost = shade * self.service(now, node, h.class, n.out_units + held + h.units) as f64;
+            // Before the first answer all cost nothing: every gateway would begin with the same node.
+            let cost = shade * self.service(now, node, h.class, n.out_units + held + h.units).max(1) as f64;
             // One never heard costs a new connection: where another is early enough, that buys nothing.
             let rank = match cost <= AIM_PART * self.s.classes[h.class].aim as f64 {
                 true if self.near.contains(&node) => 0,
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -422,6 +422,23 @@
     assert!((0..20).any(|seed| !placed(90 * MS, seed)), "180 ms: a new connection is worth it");
 }
 
+// Before the first answer all nodes cost nothing, and the first in the list's order was taken. So 48 gateways that
+// started together all began with one node, and stayed there: what was heard before is preferred.
+#[test]
+fn the_first_new_objects_of_many_gateways_go_to_all_nodes() {
+    let nodes: Vec<Entry> = (0..6).map(|i| entry(i, i)).collect();
+    let mut counts = [0; 6];
+    for seed in 0..120 {
+        let mut b = Bench::seeded(settings(), &nodes, seed);
+        for action in b.take(Request { shard: None, ..request(1, ONCE) }) {
+            if let Action::Send { node, .. } = action {
+                counts[node.0 as usize] += 1;
+            }
+        }
+    }
+    assert!(counts.iter().all(|c| (8..=35).contains(c)), "{counts:?}");
+}
+
 // What all gateways hear of first was where all of them placed new objects.
 #[test]
 fn a_new_object_goes_to_a_preferred_node_unless_that_is_late_or_rests() {
