--- a/crates/lab/src/sites.rs
+++ b/crates/lab/src/sites.rs
@@ -3,7 +3,7 @@
 use crate::outcome::{Experiment, Failure, Outcome};
 use crate::world::{self, Traffic, ZONE, block_on};
 use rowanglade_replay::Replay;
-use rowanglade_standin::{BoxPlan, Daemon, DiskBox, Entry, Fault, Site, Start, State, settings};
+use rowanglade_standin::{BoxPlan, DiskBox, Entry, Fault, Site, State};
 use std::path::Path;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -77,24 +77,11 @@
     for (place, each) in site.boxes.iter().enumerate() {
         site.discovery.put(entry(each, place));
     }
-    let mut daemons = Vec::new();
-    for me in 0..INSTANCES {
-        let mut settings = settings(&world::header(), INSTANCES, ZONE, FAR.end);
-        settings["azs"] = serde_json::json!([ZONE, "negril"]);
-        settings["my-number"] = me.into();
-        settings["rules"]["warm-within"] = ((WARM_WITHIN * 1e6) as u64).into();
-        daemons.push(Daemon::start(&Start {
-            name: format!("lab-{me}"),
-            program: std::env::current_exe()?,
-            args: vec!["rowanglade".into()],
-            settings,
-            discovery: site.discovery.addr(),
-            sockets: 1_024,
-            memory_mb: 192,
-            operator: judged.then(|| "[sites]\nhold_ms = 3000\n".to_string()),
-            meeting: None,
-        })?);
-    }
+    let daemons = world::shaped(&site, &world::header(), INSTANCES, |_, start| {
+        start.settings["azs"] = serde_json::json!([ZONE, "negril"]);
+        start.settings["rules"]["warm-within"] = ((WARM_WITHIN * 1e6) as u64).into();
+        start.operator = judged.then(|| "[sites]\nhold_ms = 3000\n".to_string());
+    })?;
     let boxes = site.boxes.clone();
     let faults = async move {
         // The first request is the beginning.
--- a/crates/lab/src/subsets.rs
+++ b/crates/lab/src/subsets.rs
@@ -3,7 +3,7 @@
 use crate::outcome::{Experiment, Failure, Outcome};
 use crate::world::{self, Traffic, ZONE, block_on};
 use rowanglade_replay::{Replay, pick};
-use rowanglade_standin::{BoxPlan, Daemon, Site, Start, settings};
+use rowanglade_standin::{BoxPlan, Site};
 use rowanglade_subset::{Rule, difference, table};
 use std::collections::BTreeSet;
 use std::path::Path;
@@ -50,23 +50,9 @@
     };
     let plans: Vec<BoxPlan> = (0..BOXES).map(plan).collect();
     let site = Site::start(&plans, ZONE, SEED).await?;
-    let mut daemons = Vec::new();
-    for me in 0..instances {
-        let mut settings = settings(&world::header(), instances as usize, ZONE, BOXES);
-        settings["my-number"] = me.into();
-        daemons.push(Daemon::start(&Start {
-            name: format!("lab-{me}"),
-            program: std::env::current_exe()?,
-            args: vec!["rowanglade".into()],
-            settings,
-            discovery: site.discovery.addr(),
-            sockets: 256,
-            memory_mb: 64,
-            operator: preferred
-                .then(|| format!("[subset]\nsize = {}\nspread = {}\n", RULE.size, RULE.spread)),
-            meeting: None,
-        })?);
-    }
+    let table = format!("[subset]\nsize = {}\nspread = {}\n", RULE.size, RULE.spread);
+    let daemons =
+        world::daemons(&site, &world::header(), instances as usize, |_| preferred.then(|| table.clone()))?;
     let ask = Replay { retries: false, seed: SEED, ..Replay::to(world::addresses(&daemons)) };
     let report = world::run(trace, &ask).await?;
     let (total, deposits) = (report.total(), report.classes.get("deposit"));
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -127,11 +127,21 @@
     header: &Header,
     count: usize,
     operator: impl Fn(usize) -> Option<String>,
+) -> Result<Vec<Daemon>, Failure> {
+    shaped(site, header, count, |number, start| start.operator = operator(number))
+}
+
+/// The same, with what they are started with changed.
+pub fn shaped(
+    site: &Site,
+    header: &Header,
+    count: usize,
+    shape: impl Fn(usize, &mut Start),
 ) -> Result<Vec<Daemon>, Failure> {
     let settings = settings(header, count, ZONE, site.boxes.len());
     let mut made = Vec::new();
     for number in 0..count {
-        made.push(Daemon::start(&Start {
+        let mut start = Start {
             name: format!("lab-{number}"),
             program: std::env::current_exe()?,
             args: vec!["rowanglade".into()],
@@ -139,9 +149,12 @@
             discovery: site.discovery.addr(),
             sockets: 1_024,
             memory_mb: 192,
-            operator: operator(number),
+            operator: None,
             meeting: None,
-        })?);
+        };
+        start.settings["my-number"] = number.into();
+        shape(number, &mut start);
+        made.push(Daemon::start(&start)?);
     }
     Ok(made)
 }
