Tell the module when a subset that held all boxes has become a choice

Seen in reading the whole change: with as many boxes as the subset holds none is preferred; when one more came, an instance whose boxes stayed the same heard no news, and went on without a preference. Also, settings.my-number beyond settings.siblings, or siblings in the billions, would have had a table of that size built.

Change: turning from all to some is news (crates/subset); [subset] is refused at the start, with the key, where the number is not below the count or the count not from 1 to 1,024.

--- a/crates/subset/src/lib.rs
+++ b/crates/subset/src/lib.rs
@@ -70,6 +70,8 @@
     instances: u32,
     listed: BTreeSet<String>,
     mine: BTreeSet<String>,
+    /// Those are all that there are.
+    all: bool,
 }
 
 /// What a list has changed.
@@ -85,7 +87,7 @@
     /// `me` is one of `instances`; one beyond them counts as one more.
     pub fn new(rule: Rule, me: u32, instances: u32) -> Subset {
         let instances = instances.max(me.saturating_add(1));
-        Subset { rule, me, instances, listed: BTreeSet::new(), mine: BTreeSet::new() }
+        Subset { rule, me, instances, listed: BTreeSet::new(), mine: BTreeSet::new(), all: false }
     }
 
     /// The targets that may take new work now. None: nothing has changed for this instance.
@@ -103,7 +105,9 @@
             all: self.rule.size >= names.len(),
         };
         self.mine = mine;
-        (!moved.came.is_empty() || !moved.left.is_empty()).then_some(moved)
+        // One more than all of them may leave this instance's as they were, which are a choice from then on.
+        let turned = std::mem::replace(&mut self.all, moved.all) != moved.all;
+        (turned || !moved.came.is_empty() || !moved.left.is_empty()).then_some(moved)
     }
 
     pub fn mine(&self) -> &BTreeSet<String> {
--- a/crates/subset/src/tests.rs
+++ b/crates/subset/src/tests.rs
@@ -116,6 +116,17 @@
     assert_eq!(subset.listed(BTreeSet::new()).expect("news").left.len(), 3);
 }
 
+// With a fifth target most instances keep their four; that these are preferred from then on must be told.
+#[test]
+fn what_was_all_and_is_a_choice_now_is_news() {
+    for me in 0..12 {
+        let mut subset = Subset::new(RULE, me, 12);
+        assert!(subset.listed(names(4).into_iter().collect()).expect("news").all);
+        assert!(!subset.listed(names(5).into_iter().collect()).expect("news").all, "instance {me}");
+        assert!(subset.listed(names(4).into_iter().collect()).expect("news").all, "instance {me}");
+    }
+}
+
 // A number beyond the count that the settings give must not end the program.
 #[test]
 fn an_instance_beyond_the_count_has_its_targets() {
--- a/src/config.rs
+++ b/src/config.rs
@@ -543,6 +543,9 @@
     spread: f64,
 }
 
+/// The most instances that boxes are parted among: each change of the list takes time in step with them.
+const MOST_PARTED: u32 = 1_024;
+
 fn default_spread() -> f64 {
     1.25
 }
@@ -556,6 +559,14 @@
             return Err(ConfigError::new("subset.spread", format!("{} is not from 1 to 100", self.spread)));
         }
         let (me, instances) = settings.instances();
+        if !(1..=MOST_PARTED).contains(&instances) {
+            let problem = format!("settings.siblings is {instances}, not from 1 to {MOST_PARTED}");
+            return Err(ConfigError::new("subset", problem));
+        }
+        if me >= instances {
+            let problem = format!("settings.my-number is {me}, and settings.siblings only {instances}");
+            return Err(ConfigError::new("subset", problem));
+        }
         Ok(Subset::new(Rule { size: self.size, spread: self.spread }, me, instances))
     }
 }
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -87,6 +87,20 @@
         (subset("size = 2\nspread = 0.9"), "subset.spread: 0.9"),
         (subset("size = 2\nspread = inf"), "subset.spread: inf"),
         (subset("size = -1"), "size"),
+        (
+            load(&EXAMPLE.replace("\"siblings\": 1", "\"siblings\": 5000"), "[subset]\nsize = 2", &[])
+                .expect_err("x"),
+            "subset: settings.siblings is 5000",
+        ),
+        (
+            load(
+                &EXAMPLE.replace("\"siblings\": 1", "\"siblings\": 1, \"my-number\": 3"),
+                "[subset]\nsize = 2",
+                &[],
+            )
+            .expect_err("x"),
+            "subset: settings.my-number is 3",
+        ),
         (subset("spread = 2"), "missing field `size`"),
         (subset("size = 2\nseize = 1"), "seize"),
     ] {
