--- a/crates/subset/src/lib.rs
+++ b/crates/subset/src/lib.rs
@@ -1,12 +1,12 @@
 //! Which targets each of many instances prefers, so that their choices add up evenly without a word between them.
 //!
 //! Every instance knows how many there are, which one it is, and the list of targets. From these alone all of them
-//! compute the same table: each instance has `size` targets, no target has more instances than `spread` times the
-//! mean, and none fewer than the mean over `spread`. The table is the one stable matching under a common score: each pair of an instance and
-//! a target has a hash, pairs are taken from the highest down, and one is passed over where its instance has enough
-//! targets or its target enough instances; first up to the fewest, then up to the most. So a change moves the pairs that it touches, and few others: an instance or
-//! a target that comes or goes frees or fills places that only the next in score move into. The room between the mean
-//! and the bounds is what keeps such moves short; without any, each would push on through most of the table.
+//! compute the same table: each instance has `size` targets, and the instances of a target are from the mean over
+//! `spread` to the mean times `spread` ([`Rule::bounds`]). The table is a matching under a common score: each pair of
+//! an instance and a target has a hash, pairs are taken from the highest down, and one is passed over where its
+//! instance has enough targets or its target enough instances; first up to the fewest, then up to the most. So a
+//! change moves the pairs that it touches and few others: an instance or a target that comes or goes frees or fills
+//! places that only the next in score move into. The room between the bounds is what keeps such moves short.
 //!
 //! Lists reach instances at different times. While two see different lists their tables differ in what the news
 //! moves, and no more; nothing depends on their agreement.
--- a/crates/subset/src/tests.rs
+++ b/crates/subset/src/tests.rs
@@ -69,7 +69,7 @@
     parts.iter().sum::<f64>() / parts.len() as f64
 }
 
-// With a modulus in place of the matching an instance that joins moves nearly all pairs: 20 times its share and more.
+// Whoever joins must not turn the others' choices over: each that moves costs new connections.
 #[test]
 fn an_instance_that_joins_moves_about_its_share() {
     let moved = moved_by_joins(8..48, 24);
--- a/tests/network/subset.rs
+++ b/tests/network/subset.rs
@@ -92,8 +92,8 @@
     seen.iter().copied().collect()
 }
 
-// By itself each instance places new objects at whatever box answers first: eight of them held connections to all
-// eight boxes, and a box that left was everybody's loss.
+// By itself each instance places new objects at the box that it heard first, so some boxes have all instances and
+// others none.
 #[test]
 fn instances_part_the_boxes_evenly_and_a_loss_moves_only_its_share() {
     story(async {
