--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -459,9 +459,9 @@
         })
     }
 
-    /// Keeps a connection whose last answer ended where it should.
+    /// Keeps a connection whose last answer ended where it should, or on which nothing was asked.
     pub fn keep(&self, link: Link) {
-        if link.whole && !self.resting.borrow().contains(&link.addr) {
+        if (link.whole || link.fresh) && !self.resting.borrow().contains(&link.addr) {
             self.kept.borrow_mut().push_back((Instant::now(), link));
         }
     }
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -1,30 +1,28 @@
 //! The module's actor: it alone owns the [`Gateway`], its timers and the requests that are open.
 
-use crate::core::attempt::{Attempt, Connect, Probe, ProbeReport, Report, TargetMessage};
+use crate::core::attempt::{Connect, TargetMessage};
 use crate::core::clock::{Clock, micros};
 use crate::core::fleet::{Fleet, milli};
 use crate::core::mailbox::{Ids, Inbox};
-use crate::core::message::{
-    Answer, Call, ListMessage, Listed, Message, Operation, Order, Reply, Upgrade, Wire,
-};
+use crate::core::message::{Answer, Call, ListMessage, Listed, Message, Operation, Order, Reply, Upgrade};
 use crate::core::routes::{Loaded, Routes};
 use crate::core::sites::{Watch, Watched};
 use crate::interface::{
-    Action, Attempt as Number, Entry, Event, KeyId, ListKind, Load, Micros, NodeId, NodeState, Outcome,
-    ReachId, Request, RequestId, ShardId, VolumeId,
+    Action, Attempt as Number, Event, KeyId, ListKind, Load, Micros, NodeId, NodeState, Outcome, ReachId,
+    Request, RequestId, ShardId, VolumeId,
 };
 use crate::names::Names;
 use crate::rules::Gateway;
-use crate::upgrade::Given;
 use rowanglade_fleet_state::exchange::Milli;
 use rowanglade_fleet_state::{Exchange, Message as PeerMessage, Peer, Store};
-use rowanglade_maintenance::{Maintenance, State};
+use rowanglade_maintenance::Maintenance;
 use rowanglade_placement::{Object, Places, Seen};
 use rowanglade_routing::BoxInfo;
 use rowanglade_subset::Subset;
 use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -43,29 +41,34 @@
 const PLACES: usize = 16_384;
 
 /// An attempt without an outcome.
-struct Out {
-    node: NodeId,
-    sent: Micros,
+pub(super) struct Out {
+    pub(super) node: NodeId,
+    /// Where the target was listed when it was sent.
+    pub(super) addr: SocketAddr,
+    pub(super) sent: Micros,
+    /// Its first byte may have gone out.
+    pub(super) started: bool,
     /// When the head of its answer came.
-    heard: Option<Micros>,
-    cancel: oneshot::Sender<()>,
+    pub(super) heard: Option<Micros>,
+    /// Absent once it is called off: its drop is the signal, and the attempt still tells its end.
+    pub(super) cancel: Option<oneshot::Sender<()>>,
 }
 
-struct Open {
-    order: Rc<Order>,
-    deadline: Micros,
+pub(super) struct Open {
+    pub(super) order: Rc<Order>,
+    pub(super) deadline: Micros,
     /// Taken when the final answer is given.
-    answer: Option<oneshot::Sender<Answer>>,
-    attempts: Vec<Option<Out>>,
+    pub(super) answer: Option<oneshot::Sender<Answer>>,
+    pub(super) attempts: Vec<Option<Out>>,
     reach: Option<ReachId>,
 }
 
-struct Target {
+pub(super) struct Target {
     /// As its list has it.
-    told: Listed,
+    pub(super) told: Listed,
     /// As it holds, with operators' calls.
-    line: Listed,
-    mailbox: mpsc::Sender<TargetMessage>,
+    pub(super) line: Listed,
+    pub(super) mailbox: mpsc::Sender<TargetMessage>,
 }
 
 /// What stands beside the module.
@@ -90,45 +93,45 @@
 
 /// The actor; [`Core::run`] is its life.
 pub struct Core {
-    gateway: Gateway,
-    names: Names,
-    clock: Clock,
-    rx: mpsc::Receiver<Message>,
+    pub(super) gateway: Gateway,
+    pub(super) names: Names,
+    pub(super) clock: Clock,
+    pub(super) rx: mpsc::Receiver<Message>,
     /// Weak, so that the core ends when all others have let go of its mailbox.
-    tx: mpsc::WeakSender<Message>,
-    list: mpsc::Sender<ListMessage>,
-    connect: Connect,
-    targets: BTreeMap<NodeId, Target>,
-    requests: HashMap<RequestId, Open>,
-    backstops: BTreeSet<(Micros, RequestId)>,
-    timers: BinaryHeap<Reverse<(Micros, u64)>>,
+    pub(super) tx: mpsc::WeakSender<Message>,
+    pub(super) list: mpsc::Sender<ListMessage>,
+    pub(super) connect: Connect,
+    pub(super) targets: BTreeMap<NodeId, Target>,
+    pub(super) requests: HashMap<RequestId, Open>,
+    pub(super) backstops: BTreeSet<(Micros, RequestId)>,
+    pub(super) timers: BinaryHeap<Reverse<(Micros, u64)>>,
     /// Events that an action brought about at once; they come after the present one.
-    next: VecDeque<Event>,
-    ready: watch::Sender<bool>,
+    pub(super) next: VecDeque<Event>,
+    pub(super) ready: watch::Sender<bool>,
     /// Discovery has had its time: what is remembered of the list must do.
-    trusting: bool,
-    open: Rc<Cell<usize>>,
-    ids: Ids,
-    routes: Routes,
+    pub(super) trusting: bool,
+    pub(super) open: Rc<Cell<usize>>,
+    pub(super) ids: Ids,
+    pub(super) routes: Routes,
     /// The table to be in force; a new one is taken up between two messages.
-    table: watch::Receiver<Arc<Loaded>>,
-    boxes: watch::Sender<Arc<Vec<BoxInfo>>>,
+    pub(super) table: watch::Receiver<Arc<Loaded>>,
+    pub(super) boxes: watch::Sender<Arc<Vec<BoxInfo>>>,
     /// Absent where no peer may be talked to.
-    fleet: Option<Fleet>,
-    operations: mpsc::Receiver<Operation>,
-    upgrades: mpsc::Receiver<Upgrade>,
-    calls: mpsc::Sender<Call>,
-    seen: mpsc::Sender<(Object, Seen)>,
-    maintenance: Maintenance,
-    places: Places,
+    pub(super) fleet: Option<Fleet>,
+    pub(super) operations: mpsc::Receiver<Operation>,
+    pub(super) upgrades: mpsc::Receiver<Upgrade>,
+    pub(super) calls: mpsc::Sender<Call>,
+    pub(super) seen: mpsc::Sender<(Object, Seen)>,
+    pub(super) maintenance: Maintenance,
+    pub(super) places: Places,
     /// Absent where sites are not judged.
-    sites: Option<Watched>,
+    pub(super) sites: Option<Watched>,
     /// Absent where no target is preferred to others.
-    subset: Option<Subset>,
+    pub(super) subset: Option<Subset>,
     /// Another process has what is owned here.
-    handed: bool,
+    pub(super) handed: bool,
     /// What the module said last that it can do without.
-    spared: f64,
+    pub(super) spared: f64,
 }
 
 /// The module's stores, as the exchange sees them.
@@ -239,7 +242,7 @@
         }
     }
 
-    fn make_ready(&mut self) {
+    pub(super) fn make_ready(&mut self) {
         if self.targets.values().any(|t| t.line.state == NodeState::In) {
             self.ready.send_replace(true);
         }
@@ -273,6 +276,10 @@
                     self.feed(Event::Started { id, attempt: number, timed: false });
                 }
             }
+            Message::MayStart { id, number, answer } => {
+                // An attempt that ended meanwhile asks no more.
+                let _ = answer.send(self.may_start(id, number));
+            }
             Message::Heard { id, number } => {
                 let now = self.clock.now();
                 let open = self.requests.get_mut(&id);
@@ -345,6 +352,11 @@
     fn ended(&mut self, id: RequestId, number: Number, reply: Reply) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some(out) = open.attempts.get_mut(number.0 as usize).and_then(Option::take) else { return };
+        // Whatever its target's actor took it for: before its start nothing of it was sent.
+        let reply = match out.started || reply.outcome.never_ran() {
+            true => reply,
+            false => Reply::bare(Outcome::NotSent),
+        };
         let (object, told) = ((open.order.volume, open.order.piece), open.order.shard);
         let seen = match (self.targets.get(&out.node).map(|t| t.told.shard), reply.outcome) {
             (Some(shard), Outcome::Served) => self.places.served(object, told, shard),
@@ -403,10 +415,10 @@
         let Some(client) = open.answer.take() else { return false };
         self.backstops.remove(&(open.deadline + BACKSTOP, id));
         self.open.set(self.open.get() - 1);
-        if open.order.more.is_some() {
-            // Its attempts may last beyond its deadline.
-            open.attempts.iter_mut().flatten().for_each(|out| out.cancel = oneshot::channel().0);
-        }
+        // What has not begun for it never will. The attempts of a long body may last beyond its deadline.
+        let long = open.order.more.is_some();
+        let idle = open.attempts.iter_mut().flatten().filter(|out| long || !out.started);
+        idle.for_each(|out| out.cancel = None);
         if let Some(answer) = answer {
             // A client that left this moment has nobody to tell.
             let _ = client.send(answer);
@@ -431,249 +443,6 @@
         }
     }
 
-    /// The news of one source. Another source's targets are not in its list, and stay.
-    fn list(&mut self, wire: Wire, kind: ListKind, mut entries: Vec<Listed>) {
-        if matches!(kind, ListKind::Full | ListKind::Remembered) {
-            entries.extend(self.targets.values().filter(|t| t.told.wire != wire).map(|t| t.told.clone()));
-            for target in self.targets.values_mut().filter(|t| t.told.wire == wire) {
-                (target.told.state, target.line.state) = (NodeState::Gone, NodeState::Gone);
-            }
-        }
-        let mut lines = Vec::with_capacity(entries.len());
-        for told in entries {
-            let node = self.names.listed(&told.name);
-            self.maintenance.told(&told.name, state(told.state), told.started);
-            if let Some(sites) = &mut self.sites {
-                sites.listed(self.clock.now(), &told);
-            }
-            let line = self.view(&told);
-            lines.push(self.entry(node, &line));
-            match self.targets.get_mut(&node) {
-                Some(target) if target.told.addr == told.addr => {
-                    (target.told, target.line) = (told, line);
-                }
-                _ => {
-                    let mailbox = (self.connect)(&line);
-                    if self.maintenance.is_out(&told.name) {
-                        // A new mailbox has room.
-                        let _ = mailbox.try_send(TargetMessage::Rest(true));
-                    }
-                    self.targets.insert(node, Target { told, line, mailbox });
-                }
-            }
-        }
-        // Who may be reached is told before the list, which may send what waits.
-        self.routes.listed(self.targets.iter().map(|(node, t)| (*node, &t.line)));
-        self.tell_reach();
-        let told: Vec<BoxInfo> = self.routes.boxes().cloned().collect();
-        self.boxes.send_if_modified(|boxes| {
-            let changed = **boxes != told;
-            *boxes = Arc::new(told);
-            changed
-        });
-        self.tell_near();
-        self.feed(Event::List { kind, entries: lines });
-        self.targets.retain(|_, t| t.line.state != NodeState::Gone);
-        if self.trusting || matches!(kind, ListKind::Full | ListKind::Changes) {
-            self.make_ready();
-        }
-    }
-
-    /// A line of the list as it holds with operators' calls.
-    fn view(&self, told: &Listed) -> Listed {
-        let (held, started) = self.maintenance.view(&told.name, state(told.state), told.started);
-        let held = match held {
-            State::Up => NodeState::In,
-            State::Draining => NodeState::Draining,
-            State::Gone => NodeState::Gone,
-        };
-        let line = Listed { state: held, started, ..told.clone() };
-        match &self.sites {
-            Some(sites) => sites.view(line),
-            None => line,
-        }
-    }
-
-    fn entry(&self, node: NodeId, line: &Listed) -> Entry {
-        Entry {
-            node,
-            shard: ShardId(line.shard),
-            zone: self.names.zone(&line.zone),
-            state: line.state,
-            started: line.started,
-        }
-    }
-
-    fn operate(&mut self, operation: Operation) {
-        let held = self.call(&operation.call);
-        if held {
-            // Without another process nobody takes it.
-            let _ = self.calls.try_send(operation.call);
-        }
-        // A caller that has left meanwhile needs no answer; what it asked for holds.
-        let _ = operation.done.send(held);
-    }
-
-    /// Does what an operator's call asks. False: nobody has such a target.
-    fn call(&mut self, call: &Call) -> bool {
-        let (Call::Maint(name) | Call::Ready(name)) = call;
-        let node = self.names.node(name);
-        let listed = node.filter(|node| self.targets.contains_key(node));
-        let used = node.is_some_and(|node| {
-            self.requests.values().flat_map(|o| o.attempts.iter().flatten()).any(|out| out.node == node)
-        });
-        if listed.is_none() && !used && !self.maintenance.is_out(name) {
-            return false;
-        }
-        let (now, out) = (self.clock.now(), matches!(call, Call::Maint(_)));
-        let changed = match out {
-            true => self.maintenance.call_out(now, name),
-            false => self.maintenance.call_back(now, name),
-        };
-        tracing::info!(target = name, out, changed, "an operator's call");
-        if let (true, Some(node)) = (changed, listed) {
-            self.hold(node, out);
-        }
-        true
-    }
-
-    /// Does what replacing the process asks. Whoever asks and has ended needs no answer.
-    fn upgrade(&mut self, upgrade: Upgrade) {
-        match upgrade {
-            Upgrade::Describe(answer) => {
-                let list = self.targets.values().map(|t| t.told.clone()).filter(|t| t.wire == Wire::Http);
-                let _ = answer.send((self.clock.now(), list.collect()));
-            }
-            Upgrade::Freeze(answer) => {
-                let module = self.gateway.handed().named(
-                    |node| self.names.node_name(node).map(str::to_string),
-                    |volume| self.names.volume_name(volume).map(str::to_string),
-                );
-                let places = self.places.all().collect();
-                let given = Given { maintenance: self.maintenance.clone(), module, places };
-                let _ = answer.send(Box::new(given));
-                self.hand(true);
-            }
-            Upgrade::Resume(answer) => {
-                self.hand(false);
-                let _ = answer.send(());
-            }
-            Upgrade::Restart(answer) => {
-                self.gateway.forget_owned(self.clock.now());
-                self.hand(false);
-                let _ = answer.send(());
-            }
-            Upgrade::Take(given, answer) => {
-                let Given { maintenance, module, places } = *given;
-                self.maintenance = maintenance;
-                self.places.learn(places);
-                // What they change of the list is told before what was learned, which is void for another start.
-                let nodes: Vec<NodeId> = self.targets.keys().copied().collect();
-                for node in nodes {
-                    let out = self.targets.get(&node).is_some_and(|t| self.maintenance.is_out(&t.told.name));
-                    self.hold(node, out);
-                }
-                let names = &mut self.names;
-                let nodes: HashMap<String, NodeId> =
-                    self.targets.iter().map(|(id, t)| (t.told.name.clone(), *id)).collect();
-                let module =
-                    module.named(|node| nodes.get(&node).copied(), |volume| Some(names.volume(&volume)));
-                self.gateway.take(module);
-                let _ = answer.send(());
-            }
-            Upgrade::Call(call) => {
-                self.call(&call);
-            }
-            Upgrade::Seen(object, seen) => self.places.learn([(object, seen)]),
-        }
-    }
-
-    /// What is owned is another process's from now on, or this one's again.
-    fn hand(&mut self, handed: bool) {
-        self.handed = handed;
-        self.feed(Event::Handed(handed));
-    }
-
-    /// Puts in force what operators' calls have changed of a listed target.
-    fn hold(&mut self, node: NodeId, out: bool) {
-        self.hold_all(&[node], out);
-    }
-
-    /// Puts in force what others than discovery have changed of listed targets.
-    fn hold_all(&mut self, nodes: &[NodeId], out: bool) {
-        let mut entries = Vec::with_capacity(nodes.len());
-        for node in nodes {
-            let Some(target) = self.targets.get(node) else { continue };
-            let line = self.view(&target.told);
-            entries.push(self.entry(*node, &line));
-            let Some(target) = self.targets.get_mut(node) else { continue };
-            target.line = line;
-            if target.mailbox.try_send(TargetMessage::Rest(out)).is_err() {
-                tracing::warn!(
-                    target = target.told.name,
-                    "its connections are not told that it rests or is back"
-                );
-            }
-        }
-        self.routes.listed(self.targets.iter().map(|(node, t)| (*node, &t.line)));
-        self.tell_reach();
-        self.tell_near();
-        self.feed(Event::List { kind: ListKind::Beside, entries });
-    }
-
-    /// What has become of sites by now.
-    fn judge_sites(&mut self, now: Micros) {
-        let Some((probes, changed)) = self.sites.as_mut().map(|s| s.poll(now)) else { return };
-        let nodes = |names: Vec<String>| {
-            let listed = names.iter().filter_map(|name| self.names.node(name));
-            listed.filter(|node| self.targets.contains_key(node)).collect::<Vec<NodeId>>()
-        };
-        let (probes, changed) = (nodes(probes), nodes(changed));
-        if !changed.is_empty() {
-            // One that discovery has drain is not held here: nobody would tell its connections that it is back.
-            let rests = |node: &NodeId| {
-                self.targets.get(node).is_some_and(|t| {
-                    let held =
-                        t.told.state == NodeState::In && self.view(&t.told).state == NodeState::Draining;
-                    held || self.maintenance.is_out(&t.told.name)
-                })
-            };
-            let (out, back): (Vec<NodeId>, Vec<NodeId>) = changed.into_iter().partition(rests);
-            for (nodes, out) in [(out, true), (back, false)] {
-                if !nodes.is_empty() {
-                    self.hold_all(&nodes, out);
-                }
-            }
-        }
-        for node in probes {
-            self.probe(now, node);
-        }
-    }
-
-    /// Tells the module whom routes let requests reach, where that has changed.
-    fn tell_reach(&mut self) {
-        let news = self.routes.news();
-        for event in news {
-            self.feed(event);
-        }
-    }
-
-    /// Tells the module which targets this instance's new objects go to, where the list has changed that.
-    fn tell_near(&mut self) {
-        let Some(subset) = &mut self.subset else { return };
-        let usable = self.targets.values().filter(|t| t.line.state == NodeState::In);
-        let Some(moved) = subset.listed(usable.map(|t| t.line.name.clone()).collect()) else { return };
-        let mine = subset.mine();
-        if moved.all && !mine.is_empty() {
-            tracing::warn!(targets = mine.len(), "the subset holds all targets: none is preferred");
-        } else {
-            tracing::info!(preferred = ?mine, came = moved.came.len(), left = moved.left.len(), "new objects");
-        }
-        let preferred = mine.iter().filter(|_| !moved.all).filter_map(|name| self.names.node(name));
-        let event = Event::Near(preferred.collect());
-        self.feed(event);
-    }
-
     /// Timers and backstops that are due.
     fn due(&mut self) {
         let now = self.clock.now();
@@ -700,7 +469,7 @@
     }
 
     /// Gives the module an event, and does what it says, until nothing follows from that.
-    fn feed(&mut self, event: Event) {
+    pub(super) fn feed(&mut self, event: Event) {
         self.next.push_back(event);
         let mut actions = Vec::new();
         while let Some(event) = self.next.pop_front() {
@@ -724,8 +493,7 @@
             Action::Cancel { id, attempt } => {
                 let out = self.requests.get_mut(&id).and_then(|o| o.attempts.get_mut(attempt.0 as usize));
                 if let Some(out) = out.and_then(Option::as_mut) {
-                    // The sender's drop is the signal; the attempt still tells its end.
-                    out.cancel = oneshot::channel().0;
+                    out.cancel = None;
                 }
             }
             Action::Wake { token, after } => self.timers.push(Reverse((now + after, token))),
@@ -746,251 +514,9 @@
         }
     }
 
-    /// Asks a target whether it answers. False: it was not asked.
-    fn probe(&mut self, now: Micros, node: NodeId) -> bool {
-        let until = self.clock.instant(now + 1_000_000);
-        let place = self.tx.upgrade().and_then(|tx| tx.try_reserve_owned().ok());
-        let (Some(target), Some(place)) = (self.targets.get(&node), place) else { return false };
-        let probe = Probe { until, report: ProbeReport::new(node, now, self.clock, place) };
-        // A probe that finds no place tells so by its drop.
-        let _ = target.mailbox.try_send(TargetMessage::Probe(probe));
-        true
-    }
-
     fn ask(&mut self, message: ListMessage) {
         if self.list.try_send(message).is_err() {
             self.next.push_back(Event::List { kind: ListKind::Failed, entries: Vec::new() });
         }
     }
-
-    fn send(&mut self, now: Micros, id: RequestId, node: NodeId, timeout: Option<Micros>) {
-        let Some(open) = self.requests.get_mut(&id) else { return };
-        let number = Number(open.attempts.len() as u32);
-        let until = open.deadline.min(timeout.map_or(Micros::MAX, |t| now.saturating_add(t)));
-        let (cancel, canceled) = oneshot::channel();
-        open.attempts.push(Some(Out { node, sent: now, heard: None, cancel }));
-        // Without a place for its end, or a target that takes it, the attempt never was.
-        let sent = open.answer.is_some()
-            && self.targets.get(&node).is_some_and(|target| {
-                let reserve = || self.tx.upgrade().and_then(|tx| tx.try_reserve_owned().ok());
-                reserve().is_some_and(|place| {
-                    let begun = open.order.more.as_ref().and_then(|_| reserve());
-                    let attempt = Attempt {
-                        order: Rc::clone(&open.order),
-                        until: self.clock.instant(until),
-                        cancel: canceled,
-                        report: Report::new(id, number, place, begun, reserve()),
-                    };
-                    match target.mailbox.try_send(TargetMessage::Attempt(attempt)) {
-                        Ok(()) => true,
-                        Err(mpsc::error::TrySendError::Full(m) | mpsc::error::TrySendError::Closed(m)) => {
-                            if let TargetMessage::Attempt(attempt) = m {
-                                attempt.report.forget();
-                            }
-                            false
-                        }
-                    }
-                })
-            });
-        if !sent {
-            if let Some(out) = open.attempts.last_mut() {
-                *out = None;
-            }
-            self.next.push_back(Event::Outcome {
-                id,
-                attempt: number,
-                node,
-                outcome: Outcome::NotSent,
-                took: 0,
-                over: open.answer.is_none(),
-                used: None,
-                elsewhere: 0.0,
-                load: Load::default(),
-            });
-        }
-    }
-}
-
-fn state(told: NodeState) -> State {
-    match told {
-        NodeState::In => State::Up,
-        NodeState::Draining => State::Draining,
-        NodeState::Gone => State::Gone,
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::core::{Handle, Origin, mailbox};
-    use crate::settings::Settings;
-    use bytes::Bytes;
-    use std::net::{Ipv4Addr, SocketAddr};
-
-    const EXAMPLE: &str = include_str!("../../deploy/example.json");
-
-    /// Runs a story beside a core whose targets are made by `connect`. Time is the test's own: it passes when
-    /// nothing is left to do, so a core that spins hangs, which the watchdog tells.
-    fn story<F: Future<Output = ()>>(
-        connect: fn() -> Connect,
-        with: impl FnOnce(Handle) -> F + Send + 'static,
-    ) {
-        let (done, finished) = std::sync::mpsc::channel();
-        std::thread::spawn(move || {
-            let example: serde_json::Value = serde_json::from_str(EXAMPLE).expect("JSON");
-            let settings: Settings = serde_json::from_value(example["settings"].clone()).expect("settings");
-            let mut names = Names::default();
-            let gateway = Gateway::new(settings.translate(&mut names).expect("usable"), 1).expect("usable");
-            let mut runtime = tokio::runtime::Builder::new_current_thread();
-            let runtime = runtime.enable_time().start_paused(true).build().expect("a runtime");
-            tokio::task::LocalSet::new().block_on(&runtime, async {
-                let (inbox, handle) = mailbox(&settings, None);
-                let (list, _calls) = mpsc::channel(4);
-                let (_routes, table) = watch::channel(Arc::default());
-                let (_operators, operations) = mpsc::channel(1);
-                let (_keeper, upgrades) = mpsc::channel(1);
-                let (calls, _calls) = mpsc::channel(1);
-                let (seen, _seen) = mpsc::channel(1);
-                let core = Core::new(
-                    gateway,
-                    names,
-                    Clock::start(),
-                    inbox,
-                    list,
-                    connect(),
-                    Beside {
-                        table,
-                        fleet: None,
-                        operations,
-                        upgrades,
-                        calls,
-                        seen,
-                        sites: None,
-                        subset: None,
-                    },
-                );
-                tokio::select! {
-                    () = core.run() => panic!("the core ended"),
-                    () = with(handle) => {}
-                }
-            });
-            let _ = done.send(());
-        });
-        finished.recv_timeout(Duration::from_secs(10)).expect("the story ends");
-    }
-
-    fn order() -> Order {
-        Order {
-            origin: Origin { front: Wire::Http, client: None },
-            id: "a".into(),
-            class: "view".into(),
-            plan: Some("full".into()),
-            write: false,
-            volume: 1,
-            piece: 2,
-            locator: "/view/1/2".into(),
-            repeat_key: None,
-            units: 1.0,
-            shard: Some(0),
-            hosts: 1,
-            length: 0,
-            body: Bytes::new(),
-            more: None,
-            time_left: Duration::from_millis(1_000),
-        }
-    }
-
-    async fn list(core: &Handle) {
-        let entries = vec![Listed {
-            kind: String::new(),
-            name: "s".into(),
-            wire: Wire::Http,
-            addr: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
-            zone: "kingston".into(),
-            shard: 0,
-            state: NodeState::In,
-            started: None,
-        }];
-        core.tell(Message::List { wire: Wire::Http, kind: ListKind::Remembered, entries }).await;
-    }
-
-    /// Targets whose actors have ended.
-    fn dead() -> Connect {
-        Box::new(|_| mpsc::channel(1).0)
-    }
-
-    // A core without any target waited again and again for a time that had passed, and took the whole processor.
-    #[test]
-    fn without_a_target_it_is_not_ready_and_does_not_spin() {
-        story(dead, async |core| {
-            tokio::time::sleep(Duration::from_secs(60)).await;
-            assert!(!core.ready());
-            list(&core).await;
-            core.readiness().wait_for(|ready| *ready).await.expect("it runs");
-        });
-    }
-
-    // After a release that killed most instances, each was away for 1.5 s longer than it took to start.
-    #[test]
-    fn without_discovery_a_remembered_list_must_do_soon() {
-        story(dead, async |core| {
-            let start = tokio::time::Instant::now();
-            list(&core).await;
-            assert!(!core.ready(), "discovery may just be about to answer");
-            core.readiness().wait_for(|ready| *ready).await.expect("it runs");
-            assert!(start.elapsed() <= Duration::from_millis(310), "{:?}", start.elapsed());
-        });
-    }
-
-    #[test]
-    fn a_target_that_takes_nothing_leaves_no_request_without_its_answer() {
-        story(dead, async |core| {
-            list(&core).await;
-            let answer = core.submit(order()).await.expect("fit").answer().await;
-            assert!(matches!(answer, Answer::Refused { wait } if !wait.is_zero()), "{answer:?}");
-            assert_eq!(core.open(), 0);
-        });
-    }
-
-    // An attempt whose actor drops it untold may have run: a keyed write must not be refused as harmless.
-    #[test]
-    fn an_attempt_dropped_untold_counts_as_broken() {
-        let drops = || -> Connect {
-            Box::new(|_| {
-                let (tx, mut rx) = mpsc::channel(8);
-                tokio::task::spawn_local(async move { while rx.recv().await.is_some() {} });
-                tx
-            })
-        };
-        story(drops, async |core| {
-            list(&core).await;
-            let write =
-                Order { class: "deposit".into(), write: true, repeat_key: Some("k".into()), ..order() };
-            assert_eq!(core.submit(write).await.expect("fit").answer().await, Answer::Failed);
-        });
-    }
-
-    // What has no answer when the program must end would be lost with it.
-    #[test]
-    fn at_the_end_whatever_is_open_fails() {
-        let holds = || -> Connect {
-            Box::new(|_| {
-                let (tx, mut rx) = mpsc::channel(8);
-                tokio::task::spawn_local(async move {
-                    let mut held = Vec::new();
-                    while let Some(message) = rx.recv().await {
-                        held.push(message);
-                    }
-                });
-                tx
-            })
-        };
-        story(holds, async |core| {
-            list(&core).await;
-            let pending = core.submit(order()).await.expect("fit");
-            core.tell(Message::End).await;
-            assert_eq!(pending.answer().await, Answer::Failed);
-            assert_eq!(core.open(), 0);
-        });
-    }
 }
--- a/src/core/attempt.rs
+++ b/src/core/attempt.rs
@@ -39,10 +39,13 @@
 /// Makes the actor of a target, which lives as long as its mailbox is held.
 pub type Connect = Box<dyn Fn(&Listed) -> mpsc::Sender<TargetMessage>>;
 
-/// The duty to tell how an attempt ended. Dropped untold, it counts as broken: it may have run.
+/// The duty to ask before an attempt's first byte, and to tell how it ended. Dropped untold, it counts as broken if
+/// it had started: it may have run.
 #[derive(Debug)]
 pub struct Report {
     to: Option<(RequestId, Number, OwnedPermit<Message>)>,
+    /// The place for the question whether it may start.
+    start: RefCell<Option<OwnedPermit<Message>>>,
     /// Of a long body: the place for the news that its rest is being taken.
     begun: RefCell<Option<OwnedPermit<Message>>>,
     /// The place for the news that an answer's head has come. Without one the core takes its end for that.
@@ -53,11 +56,26 @@
     pub(super) fn new(
         id: RequestId,
         number: Number,
+        start: OwnedPermit<Message>,
         place: OwnedPermit<Message>,
         begun: Option<OwnedPermit<Message>>,
         heard: Option<OwnedPermit<Message>>,
     ) -> Report {
-        Report { to: Some((id, number, place)), begun: RefCell::new(begun), heard: RefCell::new(heard) }
+        Report {
+            to: Some((id, number, place)),
+            start: RefCell::new(Some(start)),
+            begun: RefCell::new(begun),
+            heard: RefCell::new(heard),
+        }
+    }
+
+    /// Whether the first byte may go out. It is asked once, when nothing else is left to wait for; false: it ends as
+    /// never sent.
+    pub async fn may_start(&self) -> bool {
+        let (Some((id, number, _)), Some(place)) = (&self.to, self.start.take()) else { return false };
+        let (answer, told) = oneshot::channel();
+        place.send(Message::MayStart { id: *id, number: *number, answer });
+        told.await.unwrap_or(false)
     }
 
     /// The head of an answer has come.
--- a/src/core/mailbox.rs
+++ b/src/core/mailbox.rs
@@ -12,7 +12,7 @@
 use tokio::sync::mpsc::{self, OwnedPermit};
 use tokio::sync::{oneshot, watch};
 
-/// Places in the core's mailbox: two for each descriptor's request and four for its attempts' ends.
+/// Places in the core's mailbox: two for each descriptor's request and four for its attempts' starts and ends.
 const MAILBOX: usize = 8_192;
 
 /// The core's end of its mailbox.
--- a/src/core/message.rs
+++ b/src/core/message.rs
@@ -174,6 +174,12 @@
         id: RequestId,
         number: Number,
     },
+    /// An attempt's connection is up: whether its first byte may go out.
+    MayStart {
+        id: RequestId,
+        number: Number,
+        answer: oneshot::Sender<bool>,
+    },
     /// The head of an attempt's answer has come.
     Heard {
         id: RequestId,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -7,9 +7,12 @@
 mod body;
 mod clock;
 mod fleet;
+mod listing;
 mod mailbox;
 mod message;
+mod replacing;
 mod routes;
+mod sending;
 mod sites;
 
 pub use access_log::AccessLog;
--- /dev/null
+++ b/src/core/replacing.rs
@@ -0,0 +1,66 @@
+//! What replacing the process asks of the core.
+
+use crate::core::actor::Core;
+use crate::core::message::{Upgrade, Wire};
+use crate::interface::{Event, NodeId};
+use crate::upgrade::Given;
+use std::collections::HashMap;
+
+impl Core {
+    /// Does what replacing the process asks. Whoever asks and has ended needs no answer.
+    pub(super) fn upgrade(&mut self, upgrade: Upgrade) {
+        match upgrade {
+            Upgrade::Describe(answer) => {
+                let list = self.targets.values().map(|t| t.told.clone()).filter(|t| t.wire == Wire::Http);
+                let _ = answer.send((self.clock.now(), list.collect()));
+            }
+            Upgrade::Freeze(answer) => {
+                let module = self.gateway.handed().named(
+                    |node| self.names.node_name(node).map(str::to_string),
+                    |volume| self.names.volume_name(volume).map(str::to_string),
+                );
+                let places = self.places.all().collect();
+                let given = Given { maintenance: self.maintenance.clone(), module, places };
+                let _ = answer.send(Box::new(given));
+                self.hand(true);
+            }
+            Upgrade::Resume(answer) => {
+                self.hand(false);
+                let _ = answer.send(());
+            }
+            Upgrade::Restart(answer) => {
+                self.gateway.forget_owned(self.clock.now());
+                self.hand(false);
+                let _ = answer.send(());
+            }
+            Upgrade::Take(given, answer) => {
+                let Given { maintenance, module, places } = *given;
+                self.maintenance = maintenance;
+                self.places.learn(places);
+                // What they change of the list is told before what was learned, which is void for another start.
+                let nodes: Vec<NodeId> = self.targets.keys().copied().collect();
+                for node in nodes {
+                    let out = self.targets.get(&node).is_some_and(|t| self.maintenance.is_out(&t.told.name));
+                    self.hold(node, out);
+                }
+                let names = &mut self.names;
+                let nodes: HashMap<String, NodeId> =
+                    self.targets.iter().map(|(id, t)| (t.told.name.clone(), *id)).collect();
+                let module =
+                    module.named(|node| nodes.get(&node).copied(), |volume| Some(names.volume(&volume)));
+                self.gateway.take(module);
+                let _ = answer.send(());
+            }
+            Upgrade::Call(call) => {
+                self.call(&call);
+            }
+            Upgrade::Seen(object, seen) => self.places.learn([(object, seen)]),
+        }
+    }
+
+    /// What is owned is another process's from now on, or this one's again.
+    fn hand(&mut self, handed: bool) {
+        self.handed = handed;
+        self.feed(Event::Handed(handed));
+    }
+}
--- /dev/null
+++ b/src/core/sending.rs
@@ -0,0 +1,99 @@
+//! Attempts and probes on their way out: handed to a target's actor, asked for once more before their first byte, and
+//! called off.
+
+use crate::core::actor::{Core, Out};
+use crate::core::attempt::{Attempt, Probe, ProbeReport, Report, TargetMessage};
+use crate::interface::{Attempt as Number, Event, Load, Micros, NodeId, NodeState, Outcome, RequestId};
+use std::rc::Rc;
+use tokio::sync::{mpsc, oneshot};
+
+impl Core {
+    /// Asks a target whether it answers. False: it was not asked.
+    pub(super) fn probe(&mut self, now: Micros, node: NodeId) -> bool {
+        let until = self.clock.instant(now + 1_000_000);
+        let place = self.tx.upgrade().and_then(|tx| tx.try_reserve_owned().ok());
+        let (Some(target), Some(place)) = (self.targets.get(&node), place) else { return false };
+        let probe = Probe { until, report: ProbeReport::new(node, now, self.clock, place) };
+        // A probe that finds no place tells so by its drop.
+        let _ = target.mailbox.try_send(TargetMessage::Probe(probe));
+        true
+    }
+
+    /// Hands an attempt to its target's actor, which asks once more before its first byte.
+    pub(super) fn send(&mut self, now: Micros, id: RequestId, node: NodeId, timeout: Option<Micros>) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let number = Number(open.attempts.len() as u32);
+        let until = open.deadline.min(timeout.map_or(Micros::MAX, |t| now.saturating_add(t)));
+        let (cancel, canceled) = oneshot::channel();
+        let started = false;
+        open.attempts.push(self.targets.get(&node).map(|target| {
+            let addr = target.told.addr;
+            Out { node, addr, sent: now, started, heard: None, cancel: Some(cancel) }
+        }));
+        // Without places for its start and its end, or a target that takes it, the attempt never was.
+        let sent = open.answer.is_some()
+            && self.targets.get(&node).is_some_and(|target| {
+                let reserve = || self.tx.upgrade().and_then(|tx| tx.try_reserve_owned().ok());
+                reserve().zip(reserve()).is_some_and(|(start, place)| {
+                    let begun = open.order.more.as_ref().and_then(|_| reserve());
+                    let attempt = Attempt {
+                        order: Rc::clone(&open.order),
+                        until: self.clock.instant(until),
+                        cancel: canceled,
+                        report: Report::new(id, number, start, place, begun, reserve()),
+                    };
+                    match target.mailbox.try_send(TargetMessage::Attempt(attempt)) {
+                        Ok(()) => true,
+                        Err(mpsc::error::TrySendError::Full(m) | mpsc::error::TrySendError::Closed(m)) => {
+                            if let TargetMessage::Attempt(attempt) = m {
+                                attempt.report.forget();
+                            }
+                            false
+                        }
+                    }
+                })
+            });
+        if !sent {
+            if let Some(out) = open.attempts.last_mut() {
+                *out = None;
+            }
+            self.next.push_back(Event::Outcome {
+                id,
+                attempt: number,
+                node,
+                outcome: Outcome::NotSent,
+                took: 0,
+                over: open.answer.is_none(),
+                used: None,
+                elsewhere: 0.0,
+                load: Load::default(),
+            });
+        }
+    }
+
+    /// The last check before an attempt's first byte: its connection is up, which may have taken long. What was true
+    /// when it was sent must still be: its target is wanted and where it was, its client waits, there is time, and it
+    /// may run beside what ran before. The units that it took are held for as long as it is out.
+    pub(super) fn may_start(&mut self, id: RequestId, number: Number) -> bool {
+        let wanted = self.gateway.may_start(self.clock.now(), id, number);
+        let Some(open) = self.requests.get_mut(&id).filter(|open| open.answer.is_some()) else {
+            return false;
+        };
+        let Some(Some(out)) = open.attempts.get_mut(number.0 as usize) else { return false };
+        let there = self.targets.get(&out.node).is_some_and(|target| target.told.addr == out.addr);
+        out.started = wanted && there && out.cancel.is_some();
+        out.started
+    }
+
+    /// Calls off what has not started at a target that takes nothing new, so that it need not wait for a connection
+    /// that it may not use.
+    pub(super) fn call_off_unstarted(&mut self) {
+        let targets = &self.targets;
+        let wanted = |out: &Out| {
+            let target = targets.get(&out.node);
+            target.is_some_and(|t| t.line.state == NodeState::In && t.told.addr == out.addr)
+        };
+        let out = self.requests.values_mut().flat_map(|open| open.attempts.iter_mut().flatten());
+        out.filter(|out| !out.started && !wanted(out)).for_each(|out| out.cancel = None);
+    }
+}
--- a/src/net/http/target.rs
+++ b/src/net/http/target.rs
@@ -111,6 +111,10 @@
     });
     let answer = async {
         let mut link = take(pool, addr).await?;
+        if !report.may_start().await {
+            pool.links.keep(link);
+            return Err(Outcome::NotSent);
+        }
         let head =
             link.ask(message::request(order, addr, until), body, LARGEST_BODY).await.map_err(outcome)?;
         report.heard();
--- a/src/net/iscsi/session.rs
+++ b/src/net/iscsi/session.rs
@@ -16,7 +16,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 const MAILBOX: usize = 256;
@@ -288,17 +288,12 @@
     }
 
     async fn command(&mut self, attempt: Attempt) -> io::Result<()> {
-        let Attempt { order, until, mut cancel, report } = attempt;
+        let Attempt { order, until, cancel, report } = attempt;
         if order.more.is_some() {
             // A write of blocks holds all its data.
             report.tell(Reply::bare(Outcome::NotSent));
             return Ok(());
         }
-        if cancel.try_recv() != Err(oneshot::error::TryRecvError::Empty) {
-            // Given up while the session came up: nothing is sent for a request that is over.
-            report.tell(Reply::bare(Outcome::NotSent));
-            return Ok(());
-        }
         let group = self.figures.classes.iter().position(|c| *c == order.class);
         let in_window = self.max_cmd_sn.wrapping_sub(self.cmd_sn) as i32 >= 0;
         let (Some(group), true, false) = (group, in_window && until > Instant::now(), self.leaving) else {
@@ -309,6 +304,10 @@
             }));
             return Ok(());
         };
+        if !report.may_start().await {
+            report.tell(Reply::bare(Outcome::NotSent));
+            return Ok(());
+        }
         // A request of a wire that tells no length asks for its units' blocks.
         let told = if order.write { order.body.len() as u32 } else { order.length };
         let blocks = match told {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -141,6 +141,7 @@
     zone: ZoneId,
     state: NodeState,
     started: Option<Micros>,
+    since: Micros, // when that start was told
     warming: warmup::Node,
     latency: f64,          // microseconds
     speed: f64,            // units a second
@@ -571,18 +572,10 @@
 
     /// The one way out: every rule on sends is kept here. False: not now.
     fn send(&mut self, now: Micros, id: RequestId, node: NodeId, act: &mut Vec<Action>) -> bool {
-        let Some(n) = self.nodes.get(&node) else { return false };
         let h = &self.requests[&id];
-        // Rule 1: nothing is sent for what is over or out of time.
-        if h.over || h.deadline <= now + ANSWER_EARLY || h.tries.len() as u32 >= self.s.rules.attempts {
-            return false;
-        }
-        // Rule 2: what may have run is sent again only as its class allows; never two at once.
-        if !self.may_repeat(now, h, node) {
-            return false;
-        }
-        // Rule 3: nothing new to a node told to drain or gone, and nothing beyond its reach.
-        if n.state != NodeState::In || !self.may_reach(h.reach, node) {
+        // Rules 1 to 3 are asked again before the first byte; and there are never two attempts at once.
+        let out = h.tries.iter().any(|t| t.ran == Ran::Out);
+        if out || h.tries.len() as u32 >= self.s.rules.attempts || !self.wanted(now, h, node) {
             return false;
         }
         // Rule 4: this gateway's part of what a cold node bears, in every window.
@@ -628,6 +621,27 @@
         true
     }
 
+    /// The rules on sends that time and news can turn against an attempt while its connection comes up.
+    fn wanted(&self, now: Micros, h: &Held, node: NodeId) -> bool {
+        // Rule 1: nothing is sent for what is over or out of time.
+        !h.over && h.deadline > now + ANSWER_EARLY
+            // Rule 2: what may have run is sent again only as its class allows.
+            && self.may_repeat(now, h, node)
+            // Rule 3: nothing new to a node told to drain or gone, and nothing beyond its reach.
+            && self.nodes.get(&node).is_some_and(|n| n.state == NodeState::In)
+            && self.may_reach(h.reach, node)
+    }
+
+    /// Whether an attempt may begin, asked when its connection is up. A node told to have started since counts anew.
+    pub fn may_start(&self, now: Micros, id: RequestId, attempt: Attempt) -> bool {
+        let h = self.requests.get(&id);
+        let sent = h.and_then(|h| Some((h, h.tries.get(attempt.0 as usize)?)));
+        sent.is_some_and(|(h, t)| {
+            let same = self.nodes.get(&t.node).is_some_and(|n| n.since <= t.sent);
+            t.ran == Ran::Out && !t.lost && same && self.wanted(now, h, t.node)
+        })
+    }
+
     /// This gateway's part of what its volume's limit has left, what a request lacks of it, and for how long.
     fn limit(&self, now: Micros, h: &Held) -> Option<(f64, f64, Micros)> {
         let l = self.s.plans[h.plan?.0 as usize].limit?;
@@ -659,16 +673,10 @@
     }
 
     fn may_repeat(&self, now: Micros, h: &Held, node: NodeId) -> bool {
-        if h.tries.iter().any(|t| t.ran == Ran::Out) {
-            return false;
-        }
-        let mut ran = h.tries.iter().filter(|t| t.ran == Ran::Maybe).peekable();
-        if ran.peek().is_none() {
-            return true;
-        }
+        let mut ran = h.tries.iter().filter(|t| t.ran == Ran::Maybe);
         match self.s.classes[h.class].repeat {
             Repeat::Repeatable => true,
-            Repeat::Once => false,
+            Repeat::Once => ran.next().is_none(),
             Repeat::Keyed { group, span } => ran.all(|t| {
                 let same = match (group, self.nodes.get(&t.node), self.nodes.get(&node)) {
                     (Group::All, _, _) => true,
@@ -676,7 +684,7 @@
                     (Group::Shard, Some(a), Some(b)) => a.shard == b.shard,
                     _ => false,
                 };
-                same && now < t.sent + span
+                same && now + ANSWER_EARLY < t.sent + span // it has to arrive by then
             }),
         }
     }
@@ -983,7 +991,8 @@
                 let (old, phase) = (self.nodes.remove(&e.node), self.rand());
                 let warming = warmup::Node::new(started.unwrap_or(0), now, phase);
                 let (out, out_units) = old.map_or((BTreeMap::new(), 0.0), |o| (o.out, o.out_units));
-                self.nodes.insert(e.node, Node { started, warming, out, out_units, ..Node::default() });
+                let fresh = Node { started, since: now, warming, out, out_units, ..Node::default() };
+                self.nodes.insert(e.node, fresh);
             }
             if let Some(n) = self.nodes.get_mut(&e.node) {
                 (n.state, n.shard, n.zone) = (e.state, e.shard, e.zone);
--- /dev/null
+++ b/tests/core.rs
@@ -0,0 +1,190 @@
+//! The core beside targets that are no more than a mailbox: what it owes its requests whatever becomes of those.
+
+use bytes::Bytes;
+use rowanglade::core::{
+    Answer, Beside, Clock, Connect, Core, Handle, Listed, Message, Order, Origin, TargetMessage, Wire,
+    mailbox,
+};
+use rowanglade::interface::{ListKind, NodeState};
+use rowanglade::names::Names;
+use rowanglade::rules::Gateway;
+use rowanglade::settings::Settings;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+
+const EXAMPLE: &str = include_str!("../deploy/example.json");
+
+/// Runs a story beside a core whose targets are made by `connect`. Time is the test's own: it passes when
+/// nothing is left to do, so a core that spins hangs, which the watchdog tells.
+fn story<F: Future<Output = ()>>(
+    connect: impl FnOnce() -> Connect + Send + 'static,
+    with: impl FnOnce(Handle) -> F + Send + 'static,
+) {
+    let (done, finished) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        let example: serde_json::Value = serde_json::from_str(EXAMPLE).expect("JSON");
+        let settings: Settings = serde_json::from_value(example["settings"].clone()).expect("settings");
+        let mut names = Names::default();
+        let gateway = Gateway::new(settings.translate(&mut names).expect("usable"), 1).expect("usable");
+        let mut runtime = tokio::runtime::Builder::new_current_thread();
+        let runtime = runtime.enable_time().start_paused(true).build().expect("a runtime");
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let (inbox, handle) = mailbox(&settings, None);
+            let (list, _calls) = mpsc::channel(4);
+            let (_routes, table) = watch::channel(Arc::default());
+            let (_operators, operations) = mpsc::channel(1);
+            let (_keeper, upgrades) = mpsc::channel(1);
+            let (calls, _calls) = mpsc::channel(1);
+            let (seen, _seen) = mpsc::channel(1);
+            let core = Core::new(
+                gateway,
+                names,
+                Clock::start(),
+                inbox,
+                list,
+                connect(),
+                Beside { table, fleet: None, operations, upgrades, calls, seen, sites: None, subset: None },
+            );
+            tokio::select! {
+                () = core.run() => panic!("the core ended"),
+                () = with(handle) => {}
+            }
+        });
+        let _ = done.send(());
+    });
+    finished.recv_timeout(Duration::from_secs(10)).expect("the story ends");
+}
+
+fn order() -> Order {
+    Order {
+        origin: Origin { front: Wire::Http, client: None },
+        id: "a".into(),
+        class: "view".into(),
+        plan: Some("full".into()),
+        write: false,
+        volume: 1,
+        piece: 2,
+        locator: "/view/1/2".into(),
+        repeat_key: None,
+        units: 1.0,
+        shard: Some(0),
+        hosts: 1,
+        length: 0,
+        body: Bytes::new(),
+        more: None,
+        time_left: Duration::from_millis(1_000),
+    }
+}
+
+async fn list(core: &Handle) {
+    let entries = vec![Listed {
+        kind: String::new(),
+        name: "s".into(),
+        wire: Wire::Http,
+        addr: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+        zone: "kingston".into(),
+        shard: 0,
+        state: NodeState::In,
+        started: None,
+    }];
+    core.tell(Message::List { wire: Wire::Http, kind: ListKind::Remembered, entries }).await;
+}
+
+/// Targets whose actors have ended.
+fn dead() -> Connect {
+    Box::new(|_| mpsc::channel(1).0)
+}
+
+// A core without any target waited again and again for a time that had passed, and took the whole processor.
+#[test]
+fn without_a_target_it_is_not_ready_and_does_not_spin() {
+    story(dead, async |core| {
+        tokio::time::sleep(Duration::from_secs(60)).await;
+        assert!(!core.ready());
+        list(&core).await;
+        core.readiness().wait_for(|ready| *ready).await.expect("it runs");
+    });
+}
+
+// After a release that killed most instances, each was away for 1.5 s longer than it took to start.
+#[test]
+fn without_discovery_a_remembered_list_must_do_soon() {
+    story(dead, async |core| {
+        let start = tokio::time::Instant::now();
+        list(&core).await;
+        assert!(!core.ready(), "discovery may just be about to answer");
+        core.readiness().wait_for(|ready| *ready).await.expect("it runs");
+        assert!(start.elapsed() <= Duration::from_millis(310), "{:?}", start.elapsed());
+    });
+}
+
+#[test]
+fn a_target_that_takes_nothing_leaves_no_request_without_its_answer() {
+    story(dead, async |core| {
+        list(&core).await;
+        let answer = core.submit(order()).await.expect("fit").answer().await;
+        assert!(matches!(answer, Answer::Refused { wait } if !wait.is_zero()), "{answer:?}");
+        assert_eq!(core.open(), 0);
+    });
+}
+
+// An attempt whose actor drops it untold may have run: a keyed write must not be refused as harmless. Dropped before it
+// asked whether its first byte may go out, it never ran.
+#[test]
+fn an_attempt_dropped_untold_counts_as_broken_once_it_may_have_started() {
+    let drops = |started: bool| -> Connect {
+        Box::new(move |_| {
+            let (tx, mut rx) = mpsc::channel(8);
+            tokio::task::spawn_local(async move {
+                while let Some(message) = rx.recv().await {
+                    if let (TargetMessage::Attempt(attempt), true) = (message, started) {
+                        assert!(attempt.report.may_start().await);
+                    }
+                }
+            });
+            tx
+        })
+    };
+    let write = || Order { class: "deposit".into(), write: true, repeat_key: Some("k".into()), ..order() };
+    story(
+        move || drops(true),
+        async move |core| {
+            list(&core).await;
+            assert_eq!(core.submit(write()).await.expect("fit").answer().await, Answer::Failed);
+        },
+    );
+    story(
+        move || drops(false),
+        async move |core| {
+            list(&core).await;
+            let answer = core.submit(write()).await.expect("fit").answer().await;
+            assert!(matches!(answer, Answer::Refused { .. }), "{answer:?}");
+        },
+    );
+}
+
+// What has no answer when the program must end would be lost with it.
+#[test]
+fn at_the_end_whatever_is_open_fails() {
+    let holds = || -> Connect {
+        Box::new(|_| {
+            let (tx, mut rx) = mpsc::channel(8);
+            tokio::task::spawn_local(async move {
+                let mut held = Vec::new();
+                while let Some(message) = rx.recv().await {
+                    held.push(message);
+                }
+            });
+            tx
+        })
+    };
+    story(holds, async |core| {
+        list(&core).await;
+        let pending = core.submit(order()).await.expect("fit");
+        core.tell(Message::End).await;
+        assert_eq!(pending.answer().await, Answer::Failed);
+        assert_eq!(core.open(), 0);
+    });
+}
--- /dev/null
+++ b/tests/network/endings.rs
@@ -0,0 +1,191 @@
+//! Requests that wait while what they wait for ends: the target is announced as leaving, the client goes, the time for
+//! a repeat passes. Connections come up late where a listener's queue is full: the system tries again after a second.
+
+use crate::site::*;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+
+/// A listener whose queue is full: connections to it come up once they are let in.
+struct Full {
+    listener: TcpListener,
+    addr: SocketAddr,
+    fillers: Vec<std::net::TcpStream>,
+}
+
+impl Full {
+    fn new() -> Full {
+        let socket =
+            socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("bound");
+        socket.listen(0).expect("listening");
+        let listener = std::net::TcpListener::from(socket);
+        listener.set_nonblocking(true).expect("set");
+        let addr = listener.local_addr().expect("bound");
+        let mut fillers = Vec::new();
+        while let Ok(filler) = std::net::TcpStream::connect_timeout(&addr, Duration::from_millis(50)) {
+            fillers.push(filler);
+        }
+        Full { listener: TcpListener::from_std(listener).expect("listening"), addr, fillers }
+    }
+
+    /// Lets all in that wait or come, and follows the script with those that ask something.
+    fn let_in(self, script: Vec<Step>) -> Peer {
+        drop(self.fillers);
+        peer_on(self.listener, script)
+    }
+}
+
+/// Discovery that tells of nothing at first, and of these entries once it is told to.
+async fn discovery(entries: String) -> Peer {
+    let page =
+        |version, entries: &str| format!(r#"{{"version":{version},"full":false,"servers":[{entries}]}}"#);
+    let Step::Answer(later) = ok(&page(3, &entries)) else { unreachable!("it answers") };
+    peer(vec![ok(&page(2, "")), Step::Wait(later), Step::Silence]).await
+}
+
+/// A connection may take long to come up, and a client waits longer.
+fn patient(json: &mut serde_json::Value) {
+    json["settings"]["ceilings"]["connect-timeout"] = 5_000_000.into();
+    for grade in 0..2 {
+        json["settings"]["grades"][grade]["promise"] = 4_000_000.into();
+        json["settings"]["grades"][grade]["hard-limit"] = 8_000_000.into();
+    }
+}
+
+fn patient_request(class: &str, id: &str) -> String {
+    request(class, id, 0, if class == "deposit" { "x" } else { "" }).replace("Ms: 1400", "Ms: 7000")
+}
+
+/// What a peer saw of requests once nothing can be on its way to it any more.
+async fn seen_after(peer: &mut Peer, wait: Duration) -> Vec<String> {
+    let mut seen = Vec::new();
+    while let Ok(Some(line)) = tokio::time::timeout(wait, peer.seen.recv()).await {
+        seen.push(line);
+    }
+    seen
+}
+
+/// The system tries a connection again after 1 s, and what comes up is used at once.
+const TRIED_AGAIN: Duration = Duration::from_millis(1_500);
+
+async fn sent(stream: &mut TcpStream, text: &str) {
+    stream.write_all(text.as_bytes()).await.expect("written");
+}
+
+// The decision to send was taken before the announcement, and the request went out when its connection came up: up to
+// the connect time-out later.
+#[test]
+fn a_target_announced_as_leaving_while_a_connection_to_it_comes_up_gets_nothing() {
+    story(async {
+        let full = Full::new();
+        let mut list = discovery(line(full.addr, 0, "leaving")).await;
+        let node = start_with(&[line(full.addr, 0, "active")], Some(list.addr), None, patient).await;
+        for _ in 0..2 {
+            list.seen.recv().await.expect("it is watched");
+        }
+        let mut client = TcpStream::connect(node.http).await.expect("connected");
+        sent(&mut client, &patient_request("view", "w1")).await;
+        // Nothing answers it: that it is on its way is told by the target's queue alone.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        list.go.notify_one();
+        list.seen.recv().await.expect("the announcement was taken");
+        let mut target = full.let_in(vec![ok("late")]);
+        assert_eq!(seen_after(&mut target, TRIED_AGAIN).await, Vec::<String>::new());
+    });
+}
+
+// What a leaving target's connections kept waiting is tried elsewhere at once: its shard has moved meanwhile.
+#[test]
+fn what_waits_for_a_leaving_target_goes_to_its_successor_at_once() {
+    story(async {
+        let full = Full::new();
+        let mut successor = peer(vec![ok("moved")]).await;
+        let active = line(successor.addr, 0, "active").replace("s-0", "s-1");
+        let mut list = discovery(format!("{},{active}", line(full.addr, 0, "leaving"))).await;
+        let node = start_with(&[line(full.addr, 0, "active")], Some(list.addr), None, patient).await;
+        for _ in 0..2 {
+            list.seen.recv().await.expect("it is watched");
+        }
+        let mut client = TcpStream::connect(node.http).await.expect("connected");
+        sent(&mut client, &patient_request("deposit", "w2")).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let told = Instant::now();
+        list.go.notify_one();
+        let seen = successor.seen.recv().await.expect("it lives");
+        assert!(seen.contains("w2") && told.elapsed() < Duration::from_millis(500), "{:?}", told.elapsed());
+        assert!(read_message(&mut client).await.expect("answered").0.contains("200"));
+    });
+}
+
+// Where the settings let nothing be cancelled, the attempt of a client that had left went on to its first byte.
+#[test]
+fn a_client_that_leaves_while_a_connection_comes_up_leaves_nothing_to_be_sent() {
+    for may_cancel in [true, false] {
+        story(async move {
+            let full = Full::new();
+            let change = |json: &mut serde_json::Value| {
+                patient(json);
+                json["settings"]["ceilings"]["cancel"] = may_cancel.into();
+            };
+            let node = start_with(&[line(full.addr, 0, "active")], None, None, change).await;
+            let mut client = TcpStream::connect(node.http).await.expect("connected");
+            sent(&mut client, &patient_request("view", "w3")).await;
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            drop(client);
+            let mut target = full.let_in(vec![ok("late")]);
+            assert_eq!(seen_after(&mut target, TRIED_AGAIN).await, Vec::<String>::new(), "{may_cancel}");
+        });
+    }
+}
+
+// A repeat was decided inside its key's window, and its first byte went out after it.
+#[test]
+fn a_repeat_whose_window_ends_while_a_connection_comes_up_is_not_sent() {
+    story(async {
+        let full = Full::new();
+        let addr = full.addr;
+        let change = |json: &mut serde_json::Value| {
+            patient(json);
+            json["settings"]["grades"][1]["memory-span"] = 600_000.into();
+        };
+        let node = start_with(&[line(addr, 0, "active")], None, None, change).await;
+        let mut client = TcpStream::connect(node.http).await.expect("connected");
+        // The first attempt may have run: its connection is closed on it. The next one comes up late.
+        let mut fillers = full.fillers;
+        let first = fillers.pop().expect("one at least");
+        drop((first, fillers));
+        let (listener, ended) = (full.listener, std::rc::Rc::new(tokio::sync::Notify::new()));
+        let broken = std::rc::Rc::clone(&ended);
+        let script = actix_rt::spawn(async move {
+            loop {
+                let (mut stream, _) = listener.accept().await.expect("accepted");
+                if read_message(&mut stream).await.is_some() {
+                    // Full again before the attempt's end is told.
+                    let addr = listener.local_addr().expect("bound");
+                    let mut fillers = Vec::new();
+                    loop {
+                        let filler = TcpStream::connect(addr);
+                        match tokio::time::timeout(Duration::from_millis(20), filler).await {
+                            Ok(filler) => fillers.push(filler.expect("connected")),
+                            Err(_) => break,
+                        }
+                    }
+                    drop(stream);
+                    broken.notify_one();
+                    return (listener, fillers);
+                }
+            }
+        });
+        sent(&mut client, &patient_request("deposit", "w4")).await;
+        ended.notified().await;
+        let (listener, fillers) = script.await.expect("no panic");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        drop(fillers);
+        let mut target = peer_on(listener, vec![ok("twice")]);
+        assert_eq!(seen_after(&mut target, TRIED_AGAIN).await, Vec::<String>::new());
+        let (head, _) = read_message(&mut client).await.expect("answered");
+        assert!(head.starts_with("HTTP/1.1 500"), "it may have run: {head}");
+    });
+}
--- a/tests/network/main.rs
+++ b/tests/network/main.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod bodies;
+mod endings;
 mod fleet;
 mod http;
 mod iscsi;
--- a/tests/network/site.rs
+++ b/tests/network/site.rs
@@ -106,7 +106,10 @@
 }
 
 pub async fn peer(script: Vec<Step>) -> Peer {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+    peer_on(TcpListener::bind("127.0.0.1:0").await.expect("bound"), script)
+}
+
+pub fn peer_on(listener: TcpListener, script: Vec<Step>) -> Peer {
     let addr = listener.local_addr().expect("bound");
     let (tell, seen) = mpsc::unbounded_channel();
     let script = Rc::new(RefCell::new(script.into_iter()));
