--- a/src/net/http/clients.rs
+++ b/src/net/http/clients.rs
@@ -1,30 +1,49 @@
-//! The connections of clients: what each is at, and which of them make room for new ones.
+//! The connections of clients: what each is at, which of them make room for new ones, when a client has gone, and how
+//! a connection is closed.
+//!
+//! A close over unread bytes resets the connection, and takes along what the client has not read yet. So writing is shut
+//! down first, what still comes is read and dropped for a bounded while, and only then the connection is closed.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, Waker};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// How long a connection may take until it has brought a whole head, and say nothing at all. Clients may take 2 s.
-const HEAD: Duration = Duration::from_millis(2_400);
+pub const HEAD: Duration = Duration::from_millis(2_400);
 /// How long a connection may stand idle between requests; and where too many are idle, for how long it may at least.
-const IDLE: Duration = Duration::from_secs(2);
+pub const IDLE: Duration = Duration::from_secs(2);
 /// The same while less than this part of the places is taken. Closing one then buys nothing, and a request may just
 /// be on its way on it.
-const LONG_IDLE: Duration = Duration::from_secs(30);
-const ROOMY_PART: usize = 4;
+pub const LONG_IDLE: Duration = Duration::from_secs(30);
+pub const ROOMY_PART: usize = 4;
 /// How long a client may take nothing of what is written to it. A slow one takes a buffer of the system's at a time.
-const UNREAD: Duration = Duration::from_secs(30);
-const BRIEFLY: Duration = Duration::from_millis(200);
+pub const UNREAD: Duration = Duration::from_secs(30);
+pub const BRIEFLY: Duration = Duration::from_millis(200);
 /// Where room is short, silent connections make it once they have stood for this long, then idle ones. Before
 /// that, a request or an answer may just be under way.
-const SETTLED: Duration = Duration::from_millis(50);
+pub const SETTLED: Duration = Duration::from_millis(50);
+
+/// How long, and how much, is read and dropped before a connection is closed.
+pub const LINGER: Duration = Duration::from_secs(1);
+const MOST_DROPPED: usize = 4 << 20;
+/// Bytes behind a request that is with its handler, at most: clients send one request at a time. What comes beyond them
+/// is dropped, and the connection ends with the answers to what came before.
+pub const MOST_BEHIND: usize = 32 * 1024;
+/// While bytes of a client's are unread, its leaving shows only where it is looked for: this often.
+const LOOK: Duration = Duration::from_millis(50);
+/// Connections beyond the places that may be told so at once, before they are closed.
+const MOST_TURNED_AWAY: usize = 8;
+const NO_PLACE: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.100\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
 /// What a connection is at.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,20 +56,67 @@
     Busy,
     /// Between requests.
     Idle,
+    /// It is shut, and what still comes is dropped.
+    Closing,
 }
 
 /// One connection, as its stream, its handler and the book see it.
 #[derive(Debug)]
 pub struct Seat {
+    stream: Rc<TcpStream>,
     phase: Cell<Phase>,
+    /// All of the request that is with its handler has come.
+    whole: Cell<bool>,
+    /// An answer has said that it is the last.
+    last: Cell<bool>,
+    /// What was written last ends with the connection and is not whole.
+    cut: Cell<bool>,
     since: Cell<Instant>,
     /// Since when the client takes nothing of what is written to it.
     unread: Cell<Option<Instant>>,
     ended: Cell<bool>,
+    /// Told to what closes the connection: its place is another's.
+    hurry: Notify,
     waker: RefCell<Option<Waker>>,
 }
 
 impl Seat {
+    /// Whether it has to end.
+    pub fn ended(&self) -> bool {
+        self.ended.get()
+    }
+
+    /// All of the request has come that is with its handler: what comes now is behind it.
+    pub fn whole(&self) {
+        self.whole.set(true);
+    }
+
+    /// The present answer is the last: nothing that comes behind it is sent on.
+    pub fn close(&self) {
+        self.last.set(true);
+    }
+
+    /// Whether the last answer is made.
+    pub fn closes(&self) -> bool {
+        self.last.get()
+    }
+
+    /// What was written ends with the connection and breaks off: only a reset tells that it is not whole.
+    pub fn cut(&self) {
+        self.cut.set(true);
+    }
+
+    /// Resolves once the client has left, also where bytes that it sent before are still unread.
+    pub async fn gone(&self) {
+        // An error here is the connection's.
+        while let Ok(ready) = self.stream.ready(Interest::READABLE).await {
+            if ready.is_read_closed() {
+                return;
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
     fn turn(&self, phase: Phase) {
         self.phase.set(phase);
         self.since.set(Instant::now());
@@ -58,6 +124,7 @@
 
     /// A request is with its handler for as long as the guard is held.
     pub fn busy(self: &Rc<Seat>) -> Busy {
+        self.whole.set(false);
         self.turn(Phase::Busy);
         Busy(Rc::clone(self))
     }
@@ -70,7 +137,7 @@
         }
     }
 
-    fn end(&self) {
+    pub fn end(&self) {
         self.ended.set(true);
         if let Some(waker) = self.waker.take() {
             waker.wake();
@@ -97,6 +164,10 @@
     most_idle: Cell<usize>,
     /// Idle connections stay.
     kept: Cell<bool>,
+    /// The program ends, and nothing more is waited for.
+    over: Cell<bool>,
+    /// Connections that found no place and are being told.
+    turned_away: Cell<usize>,
     next: Cell<u64>,
     seats: RefCell<BTreeMap<u64, Rc<Seat>>>,
 }
@@ -108,6 +179,8 @@
             most: Cell::new(most),
             most_idle: Cell::new(most_idle),
             kept: Cell::new(false),
+            over: Cell::new(false),
+            turned_away: Cell::new(0),
             next: Cell::new(0),
             seats: RefCell::default(),
         }))
@@ -128,25 +201,60 @@
         self.0.kept.set(true);
     }
 
+    /// The program ends: what is closed from now on is closed at once.
+    pub fn end(&self) {
+        self.0.over.set(true);
+    }
+
     /// Takes a new connection in; where all places are taken, one that waits for nothing makes room. None: all of
-    /// them have a request open, and the new one is closed.
+    /// them have a request open, and the new one is told to come again and closed.
     pub fn seat(&self, stream: TcpStream) -> Option<Guarded> {
         let mut seats = self.0.seats.borrow_mut();
         if seats.len() >= self.0.most.get() {
-            let number = spare(&seats)?;
-            seats.remove(&number)?.end();
+            match spare(&seats).and_then(|number| seats.remove(&number)) {
+                Some(spared) => {
+                    spared.hurry.notify_one();
+                    spared.end();
+                }
+                None => {
+                    self.turn_away(stream);
+                    return None;
+                }
+            }
         }
+        let stream = Rc::new(stream);
         let seat = Rc::new(Seat {
+            stream: Rc::clone(&stream),
             phase: Cell::new(Phase::Silent),
+            whole: Cell::new(false),
+            last: Cell::new(false),
+            cut: Cell::new(false),
             since: Cell::new(Instant::now()),
             unread: Cell::new(None),
             ended: Cell::new(false),
+            hurry: Notify::new(),
             waker: RefCell::default(),
         });
         let number = self.0.next.get();
         self.0.next.set(number + 1);
         seats.insert(number, Rc::clone(&seat));
-        Some(Guarded { stream, seat, place: Place { book: self.clone(), number } })
+        let place = Some(Place { book: self.clone(), number });
+        Some(Guarded { stream, seat, place, behind: 0 })
+    }
+
+    /// Answers a connection that found no place, whatever it asks; beyond a number it is just closed.
+    fn turn_away(&self, stream: TcpStream) {
+        if self.0.turned_away.get() >= MOST_TURNED_AWAY {
+            return;
+        }
+        self.0.turned_away.set(self.0.turned_away.get() + 1);
+        let book = self.clone();
+        actix_rt::spawn(async move {
+            // A new connection has room for so little.
+            let _ = stream.try_write(NO_PLACE);
+            let _ = tokio::time::timeout(BRIEFLY, close(&stream)).await;
+            book.0.turned_away.set(book.0.turned_away.get() - 1);
+        });
     }
 
     /// Ends what has kept silent, taken over a head, or stood idle for too long. Of idle connections beyond their
@@ -165,7 +273,7 @@
             let most = match seat.phase() {
                 Phase::Silent | Phase::Head => HEAD,
                 Phase::Idle if !self.0.kept.get() => idle,
-                Phase::Idle | Phase::Busy => continue,
+                Phase::Idle | Phase::Busy | Phase::Closing => continue,
             };
             if lasted(seat) >= most {
                 seat.end();
@@ -178,14 +286,15 @@
     }
 }
 
-/// The connection to end for a new one: the one silent for longest, else the one idle for longest, else the one
+/// The connection to end for a new one: the one being closed for longest, else the one silent for longest, else the one idle for longest, else the one
 /// whose head has taken longest.
 fn spare(seats: &BTreeMap<u64, Rc<Seat>>) -> Option<u64> {
     let now = Instant::now();
     let rank = |phase| match phase {
-        Phase::Silent => Some(0),
-        Phase::Idle => Some(1),
-        Phase::Head => Some(2),
+        Phase::Closing => Some(0),
+        Phase::Silent => Some(1),
+        Phase::Idle => Some(2),
+        Phase::Head => Some(3),
         Phase::Busy => None,
     };
     let settled = seats.iter().filter(|(_, s)| now.saturating_duration_since(s.since.get()) >= SETTLED);
@@ -213,12 +322,33 @@
     }
 }
 
-/// A client's stream. Once its seat is ended it reads as closed, and takes nothing more.
+/// Shuts writing down, and reads and drops what still comes until the client has closed too.
+async fn close(stream: &TcpStream) {
+    let mut dropped = 0;
+    let mut scratch = [0; 4096];
+    if socket2::SockRef::from(stream).shutdown(Shutdown::Write).is_err() {
+        return;
+    }
+    while dropped < MOST_DROPPED && stream.readable().await.is_ok() {
+        match stream.try_read(&mut scratch) {
+            Ok(0) => return,
+            Ok(read) => dropped += read,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(_) => return,
+        }
+    }
+}
+
+/// A client's stream. Once its seat is ended it reads as closed, and takes nothing more. Dropped, it is closed in order,
+/// and keeps its place meanwhile.
 #[derive(Debug)]
 pub struct Guarded {
-    stream: TcpStream,
+    stream: Rc<TcpStream>,
     seat: Rc<Seat>,
-    place: Place,
+    /// Absent once the connection is being closed.
+    place: Option<Place>,
+    /// Bytes that came behind the request that is with its handler.
+    behind: usize,
 }
 
 impl Guarded {
@@ -226,15 +356,64 @@
         &self.seat
     }
 
-    fn write<T>(
+    /// The stream itself, as far as bytes have come.
+    pub fn stream(&self) -> &TcpStream {
+        &self.stream
+    }
+
+    /// Reads what has come. None: nothing has, and the task is woken once something does.
+    fn read(&self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read(buf.initialize_unfilled()) {
+                Ok(read) => {
+                    buf.advance(read);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
+    }
+
+    /// Reads behind a request that is with its handler: more than a client may send is dropped.
+    fn read_behind(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        if self.behind < MOST_BEHIND {
+            let before = buf.filled().len();
+            let read = self.read(cx, buf);
+            self.behind += buf.filled().len() - before;
+            return read;
+        }
+        // Nothing of it is served, so the connection cannot go on behind the present answer.
+        self.seat.close();
+        let mut scratch = [0; 4096];
+        for _ in 0..MOST_BEHIND / scratch.len() {
+            let mut dropped = ReadBuf::new(&mut scratch);
+            ready!(self.read(cx, &mut dropped))?;
+            if dropped.filled().is_empty() {
+                return Poll::Ready(Ok(()));
+            }
+        }
+        // Others have their turn.
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    }
+
+    fn write(
         &mut self,
         cx: &mut Context<'_>,
-        write: impl FnOnce(Pin<&mut TcpStream>, &mut Context<'_>) -> Poll<io::Result<T>>,
-    ) -> Poll<io::Result<T>> {
+        mut write: impl FnMut(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
         if self.seat.ended.get() {
             return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
         }
-        write(Pin::new(&mut self.stream), cx)
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match write(&self.stream) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                done => return Poll::Ready(done),
+            }
+        }
     }
 }
 
@@ -245,11 +424,23 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let busy = self.seat.phase.get() == Phase::Busy;
+        if !busy {
+            if self.behind >= MOST_BEHIND {
+                // What was dropped leaves a gap: the connection reads as closed.
+                return Poll::Ready(Ok(()));
+            }
+            self.behind = 0;
+        }
+        let read = match busy && self.seat.whole.get() {
+            true => self.read_behind(cx, buf),
+            false => self.read(cx, buf),
+        };
         if self.seat.ended.get() {
             // What came just before the end is served: closed on it, the client could not tell whether it had run.
             let came = buf.filled().len() > before;
-            if !came || self.seat.phase.get() != Phase::Idle || !self.place.held() {
+            let held = self.place.as_ref().is_some_and(Place::held);
+            if !came || self.seat.phase.get() != Phase::Idle || !held {
                 buf.set_filled(before);
                 return Poll::Ready(Ok(()));
             }
@@ -267,7 +458,7 @@
 
 impl AsyncWrite for Guarded {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let written = self.write(cx, |stream, cx| stream.poll_write(cx, buf));
+        let written = self.write(cx, |stream| stream.try_write(buf));
         match &written {
             Poll::Pending => self.seat.unread.set(self.seat.unread.get().or(Some(Instant::now()))),
             Poll::Ready(_) => {
@@ -281,162 +472,43 @@
         written
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.write(cx, |stream, cx| stream.poll_flush(cx))
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // Nothing is held back here.
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // One that the client has closed meanwhile is shut already.
+        let _ = socket2::SockRef::from(&*self.stream).shutdown(Shutdown::Write);
+        Poll::Ready(Ok(()))
     }
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use tokio::io::{AsyncReadExt, AsyncWriteExt};
-    use tokio::net::TcpListener;
-
-    async fn accepted(listener: &TcpListener) -> (TcpStream, TcpStream) {
-        let addr = listener.local_addr().expect("bound");
-        let client = TcpStream::connect(addr).await.expect("connected");
-        (client, listener.accept().await.expect("accepted").0)
-    }
-
-    // Clients that say nothing, or ask once and stay, held every descriptor, and accept failed for all others.
-    #[test]
-    fn silent_and_idle_connections_make_room_and_busy_ones_do_not() {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
-        runtime.expect("a runtime").block_on(async {
-            let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
-            let clients = Clients::new(2, 1);
-            let mut peers = Vec::new();
-            let mut seat = async || {
-                let (peer, stream) = accepted(&listener).await;
-                peers.push(peer);
-                clients.seat(stream)
-            };
-            let busy = seat().await.expect("room");
-            let open = busy.seat().busy();
-            let mut silent = seat().await.expect("room");
-            assert!(seat().await.is_none(), "a request may be under way on the one just opened");
-            tokio::time::advance(SETTLED).await;
-            let mut late = seat().await.expect("the silent one makes room");
-            assert_eq!(silent.read(&mut [0; 1]).await.expect("closed"), 0);
-            tokio::time::advance(HEAD).await;
-            clients.sweep();
-            assert_eq!(late.read(&mut [0; 1]).await.expect("closed"), 0);
-            drop((silent, late));
-            assert_eq!((clients.open(), busy.seat().ended.get()), (1, false));
-            drop(open);
-            tokio::time::advance(IDLE).await;
-            clients.sweep();
-            assert!(busy.seat().ended.get());
-        });
-    }
-
-    // An idle connection was closed on the request that had just come on it.
-    #[test]
-    fn a_request_that_came_before_an_idle_connection_is_closed_is_read() {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        runtime.expect("a runtime").block_on(async {
-            let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
-            let clients = Clients::new(9, 9);
-            let (mut peer, stream) = accepted(&listener).await;
-            let mut guarded = clients.seat(stream).expect("room");
-            drop(guarded.seat().busy());
-            peer.write_all(b"GET").await.expect("written");
-            guarded.stream.readable().await.expect("it comes");
-            guarded.seat().end();
-            assert_eq!(guarded.read(&mut [0; 9]).await.expect("read"), 3);
-            assert!(!guarded.seat().ended.get(), "it takes the answer");
-            drop(guarded.seat().busy());
-            guarded.seat().end();
-            assert_eq!(guarded.read(&mut [0; 9]).await.expect("closed"), 0);
-        });
-    }
-
-    // A request came just as its connection was closed for standing idle, which nobody needed to be closed.
-    #[test]
-    fn where_there_is_room_idle_connections_stay_for_long() {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
-        runtime.expect("a runtime").block_on(async {
-            let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
-            let clients = Clients::new(2 * ROOMY_PART, 2 * ROOMY_PART);
-            let mut seats = Vec::new();
-            for open in 1..=3 {
-                let (peer, stream) = accepted(&listener).await;
-                let seat = clients.seat(stream).expect("room");
-                drop(seat.seat().busy());
-                seats.push((peer, seat));
-                tokio::time::advance(IDLE).await;
-                clients.sweep();
-                let ended = seats.iter().any(|(_, s)| s.seat().ended.get());
-                assert_eq!(ended, open > 2, "{open} of {} places", 2 * ROOMY_PART);
-            }
-            seats.truncate(1);
-            let clients = Clients::new(2 * ROOMY_PART, 2 * ROOMY_PART);
-            let (_peer, stream) = accepted(&listener).await;
-            let seat = clients.seat(stream).expect("room");
-            drop(seat.seat().busy());
-            tokio::time::advance(LONG_IDLE).await;
-            clients.sweep();
-            assert!(seat.seat().ended.get(), "not for ever");
-        });
-    }
-
-    // A long answer was cut off: its last bytes waited for a slow client, and the connection counted as idle.
-    #[test]
-    fn a_connection_whose_client_is_slow_to_take_an_answer_is_not_idle() {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
-        runtime.expect("a runtime").block_on(async {
-            let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
-            let clients = Clients::new(1, 9);
-            let (peer, stream) = accepted(&listener).await;
-            let mut slow = clients.seat(stream).expect("room");
-            drop(slow.seat().busy());
-            let mut filled = 0;
-            while let Ok(Ok(written)) =
-                tokio::time::timeout(Duration::from_millis(1), AsyncWriteExt::write(&mut slow, &[0; 1 << 16]))
-                    .await
-            {
-                filled += written;
-            }
-            tokio::time::advance(IDLE).await;
-            clients.sweep();
-            assert!(!slow.seat().ended.get(), "{filled} bytes wait for their client");
-            assert!(clients.seat(accepted(&listener).await.1).is_none(), "it makes no room");
-            tokio::time::advance(UNREAD).await;
-            clients.sweep();
-            assert!(slow.seat().ended.get(), "a client that takes nothing at all");
-            drop(peer);
-        });
-    }
-
-    // A crowd of clients that each ask once and stay held all the connections that clients may have.
-    #[test]
-    fn beyond_their_number_idle_connections_are_closed_soon_the_oldest_first() {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
-        runtime.expect("a runtime").block_on(async {
-            let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
-            let clients = Clients::new(9, 2);
-            let mut seats = Vec::new();
-            for _ in 0..4 {
-                let (peer, stream) = accepted(&listener).await;
-                let seat = clients.seat(stream).expect("room");
-                drop(seat.seat().busy());
-                tokio::time::advance(Duration::from_millis(1)).await;
-                seats.push((peer, seat));
+impl Drop for Guarded {
+    fn drop(&mut self) {
+        let (stream, seat, place) = (Rc::clone(&self.stream), Rc::clone(&self.seat), self.place.take());
+        if seat.cut.get() {
+            // The system's buffers are of no use to a client that must not take them for all.
+            let _ = socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+            return;
+        }
+        let Some(place) = place.filter(|place| !place.book.0.over.get()) else {
+            let _ = socket2::SockRef::from(&*stream).shutdown(Shutdown::Write);
+            return;
+        };
+        // Where its place was given away, nothing is waited for.
+        let wanted = !place.held();
+        let until = Instant::now() + if wanted { Duration::ZERO } else { LINGER };
+        seat.turn(Phase::Closing);
+        let closing = async move {
+            tokio::select! {
+                biased;
+                () = close(&stream) => {}
+                () = seat.hurry.notified(), if !wanted => {}
+                () = tokio::time::sleep_until(until) => {}
             }
-            let ended = || {
-                clients.sweep();
-                seats.iter().map(|(_, s)| s.seat().ended.get()).collect::<Vec<_>>()
-            };
-            assert_eq!(ended(), [false; 4], "their clients may just go on");
-            tokio::time::advance(BRIEFLY).await;
-            assert_eq!(ended(), [true, true, false, false]);
-            clients.keep();
-            tokio::time::advance(IDLE).await;
-            assert_eq!(ended(), [true, true, false, false], "no new ones would come for them");
-        });
+            drop(place);
+        };
+        actix_rt::spawn(closing);
     }
 }
--- a/src/net/http/discovery.rs
+++ b/src/net/http/discovery.rs
@@ -3,7 +3,7 @@
 use crate::core::{Handle, ListMessage, Listed, Message, Wire};
 use crate::interface::{ListKind, NodeState};
 use crate::net::http::dial;
-use crate::net::http::watch::{AT_ONCE, End, Next, Watch, patience};
+use crate::net::http::watch::{Call, End, Next, Watch};
 use awc::Client;
 use rowanglade_routing::BoxInfo;
 use serde::{Deserialize, Serialize};
@@ -131,6 +131,7 @@
     client: Option<(SocketAddr, Client)>,
     connect_timeout: Duration,
     core: Handle,
+    watch: Watch,
     /// The newest version held; absent: none, so the whole list is asked for.
     version: Option<u64>,
 }
@@ -140,9 +141,10 @@
         addr: watch::Receiver<Address>,
         connect_timeout: Duration,
         core: Handle,
+        watch: Watch,
         version: Option<u64>,
     ) -> Directory {
-        let mut directory = Directory { addr, client: None, connect_timeout, core, version };
+        let mut directory = Directory { addr, client: None, connect_timeout, core, watch, version };
         directory.turn();
         directory
     }
@@ -158,13 +160,13 @@
     pub async fn run(mut self, mut asked: mpsc::Receiver<ListMessage>) {
         let mut addr = self.addr.clone();
         loop {
-            let mut watch = Watch::default();
+            self.watch.again();
             let mut call = tokio::select! {
                 message = asked.recv() => match message {
-                    Some(ListMessage::Watch) => Some(watch.first()),
+                    Some(ListMessage::Watch) => Some(self.watch.first()),
                     Some(ListMessage::Fetch) => {
                         self.version = None;
-                        if matches!(self.call(AT_ONCE).await, Some(End::Silent | End::Failed)) {
+                        if self.call(Call::at_once()).await.is_some_and(|end| end != End::Told) {
                             self.failed().await;
                         }
                         None
@@ -174,13 +176,13 @@
                 // Another address is asked at once, whatever wait the core is in after a failure at the old.
                 () = changed(&mut addr) => Some(self.moved()),
             };
-            while let Some(hold) = call {
+            while let Some(present) = call {
                 // A watch under way at the old address would bring no more news for as long as it holds.
                 call = tokio::select! {
                     biased;
                     () = changed(&mut addr) => Some(self.moved()),
-                    end = self.call(hold) => match end.map(|end| watch.next(end)) {
-                        Some(Next::Call(hold)) => Some(hold),
+                    end = self.call(present) => match end.map(|end| self.watch.next(end)) {
+                        Some(Next::Call(next)) => Some(next),
                         Some(Next::Stop) => {
                             self.failed().await;
                             None
@@ -193,33 +195,53 @@
     }
 
     /// Another service may count its versions in its own way, so the whole list is asked for.
-    fn moved(&mut self) -> Duration {
+    fn moved(&mut self) -> Call {
         self.turn();
         self.version = None;
-        tracing::info!(addr = ?self.client.as_ref().map(|(addr, _)| addr), "discovery has moved");
-        AT_ONCE
+        self.watch.again();
+        tracing::info!(addr = ?self.client.as_ref().map(|(addr, _)| addr), "discovery is asked anew");
+        self.watch.first()
     }
 
     /// One call, and its news to the core. None: there is no discovery.
-    async fn call(&mut self, hold: Duration) -> Option<End> {
-        if self.client.is_none() {
+    async fn call(&mut self, call: Call) -> Option<End> {
+        let Some((addr, client)) = self.client.clone() else {
             // What sessions tell are all the changes there are, so the core may take itself as told.
             self.tell(ListKind::Changes, Vec::new()).await;
             return None;
-        }
-        let end = match tokio::time::timeout(patience(hold), self.get(hold)).await {
+        };
+        let version = self.version;
+        let asked = async {
+            let first = get(&client, addr, version, call.hold);
+            tokio::pin!(first);
+            let Some(beside) = call.beside else { return first.await };
+            tokio::select! {
+                page = &mut first => return page,
+                () = tokio::time::sleep(beside) => {}
+            }
+            // The first to answer tells all that there is; the other is dropped.
+            tokio::select! {
+                page = &mut first => page,
+                page = get(&client, addr, version, call.hold) => page,
+            }
+        };
+        let end = match tokio::time::timeout(call.patience(), asked).await {
             Ok(Ok(page)) => {
                 self.version = Some(page.version);
                 let kind = if page.full { ListKind::Full } else { ListKind::Changes };
                 self.tell(kind, page.servers.into_iter().map(Listed::from).collect()).await;
                 End::Told
             }
-            Ok(Err(error)) => {
-                tracing::info!(%error, "discovery call failed");
-                End::Failed
+            Ok(Err(Failed::Status(status))) => {
+                tracing::info!(%status, "discovery refused a call");
+                End::Refused
+            }
+            Ok(Err(Failed::Broken(error))) => {
+                tracing::info!(%error, "a discovery call broke");
+                End::Broken
             }
             Err(_) => {
-                tracing::info!(?hold, "discovery has fallen silent");
+                tracing::info!(hold = ?call.hold, "discovery has fallen silent");
                 End::Silent
             }
         };
@@ -233,19 +255,30 @@
     async fn tell(&self, kind: ListKind, entries: Vec<Listed>) {
         self.core.tell(Message::List { wire: Wire::Http, kind, entries }).await;
     }
+}
 
-    async fn get(&self, hold: Duration) -> Result<Page, String> {
-        let path = match self.version {
-            Some(version) => format!("/discovery/hosts?from={version}&hold_ms={}", hold.as_millis()),
-            None => "/discovery/hosts".to_string(),
-        };
-        let Some((addr, client)) = &self.client else { return Err("there is none".to_string()) };
-        let request = client.get(format!("http://{addr}{path}")).no_decompress();
-        let mut response = request.send().await.map_err(|e| e.to_string())?;
-        if response.status() != actix_http::StatusCode::OK {
-            return Err(response.status().to_string());
-        }
-        let body = response.body().limit(LARGEST_LIST).await.map_err(|e| e.to_string())?;
-        serde_json::from_slice(&body).map_err(|e| e.to_string())
+/// Why a call brought no list.
+enum Failed {
+    Status(actix_http::StatusCode),
+    Broken(String),
+}
+
+async fn get(
+    client: &Client,
+    addr: SocketAddr,
+    version: Option<u64>,
+    hold: Duration,
+) -> Result<Page, Failed> {
+    let path = match version {
+        Some(version) => format!("/discovery/hosts?from={version}&hold_ms={}", hold.as_millis()),
+        None => "/discovery/hosts".to_string(),
+    };
+    let broken = |error: &dyn std::fmt::Display| Failed::Broken(error.to_string());
+    let request = client.get(format!("http://{addr}{path}")).no_decompress();
+    let mut response = request.send().await.map_err(|e| broken(&e))?;
+    if response.status() != actix_http::StatusCode::OK {
+        return Err(Failed::Status(response.status()));
     }
+    let body = response.body().limit(LARGEST_LIST).await.map_err(|e| broken(&e))?;
+    serde_json::from_slice(&body).map_err(|e| broken(&e))
 }
--- a/src/net/http/mod.rs
+++ b/src/net/http/mod.rs
@@ -1,12 +1,12 @@
 //! The platform's protocol: HTTP/1.1 over TCP.
 
-mod clients;
+pub mod clients;
 mod dial;
 mod discovery;
 mod message;
 mod server;
 mod target;
-mod watch;
+pub mod watch;
 
 pub use clients::Clients;
 pub use discovery::{Address, Directory, Page, remembered};
--- a/src/net/http/server.rs
+++ b/src/net/http/server.rs
@@ -121,22 +121,50 @@
 }
 
 async fn respond(front: Front, mut request: Request) -> Response<Sending> {
-    let busy = request.conn_data::<Rc<Seat>>().map(Seat::busy);
-    let mut response = if request.path() == "/up" {
+    let seat = request.conn_data::<Rc<Seat>>().cloned();
+    let busy = seat.as_ref().map(Seat::busy);
+    let mut response = if seat.as_ref().is_some_and(|seat| seat.closes()) {
+        // It came behind a request whose answer was the connection's last: its client sends it again elsewhere.
+        message::status(StatusCode::SERVICE_UNAVAILABLE)
+    } else if request.path() == "/up" {
         let up = request.method() == Method::GET && front.core.ready();
         message::status(if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
     } else {
-        serve_one(&front, &mut request).await.unwrap_or_else(|error| error)
+        let left = async {
+            match &seat {
+                Some(seat) => seat.gone().await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            response = serve_one(&front, &mut request, seat.as_deref()) => response.unwrap_or_else(|error| error),
+            // Dropped, what was served tells the core. Nobody reads this answer.
+            () = left => {
+                tracing::debug!("a client left");
+                seat.iter().for_each(|seat| seat.close());
+                message::status(StatusCode::REQUEST_TIMEOUT)
+            }
+        }
     };
     if *front.closing.borrow() || *front.phase.borrow() == Phase::Leaving {
         response.head_mut().set_connection_type(ConnectionType::Close);
     }
+    let mut cut = None;
     if request.version() < Version::HTTP_11 && response.body().size() == BodySize::Stream {
         // Chunks are not known there: the body ends with the connection.
         response.head_mut().no_chunking(true);
         response.head_mut().set_connection_type(ConnectionType::Close);
+        cut.clone_from(&seat);
     }
-    response.map_body(|_, content| Sending { content, busy })
+    if let Some(seat) = &seat {
+        if seat.closes() {
+            response.head_mut().set_connection_type(ConnectionType::Close);
+        } else if response.head().connection_type() == ConnectionType::Close {
+            seat.close();
+        }
+    }
+    response.map_body(|_, content| Sending { content, busy, cut })
 }
 
 /// A body on its way to its client, whose connection is busy with it.
@@ -144,6 +172,8 @@
     content: Content,
     #[expect(dead_code, reason = "held for its drop")]
     busy: Option<Busy>,
+    /// Of a body whose end is the connection's: without a reset, one that breaks off would look whole.
+    cut: Option<Rc<Seat>>,
 }
 
 impl MessageBody for Content {
@@ -176,11 +206,20 @@
     }
 
     fn poll_next(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
-        Pin::new(&mut self.get_mut().content).poll_next(cx)
+        let sending = self.get_mut();
+        let piece = Pin::new(&mut sending.content).poll_next(cx);
+        if let (Poll::Ready(Some(Err(_))), Some(seat)) = (&piece, &sending.cut) {
+            seat.cut();
+        }
+        piece
     }
 }
 
-async fn serve_one(front: &Front, request: &mut Request) -> Result<Response<Content>, Response<Content>> {
+async fn serve_one(
+    front: &Front,
+    request: &mut Request,
+    seat: Option<&Seat>,
+) -> Result<Response<Content>, Response<Content>> {
     let declared = request.headers().get(actix_http::header::CONTENT_LENGTH);
     let declared = declared.and_then(|l| l.to_str().ok()).and_then(|l| l.parse::<u64>().ok());
     if declared.is_some_and(|length| length > LARGEST_BODY) {
@@ -207,6 +246,9 @@
     if !order.write && !order.body.is_empty() {
         return Err(unfit(&"a read with a body"));
     }
+    if let (true, Some(seat)) = (whole, seat) {
+        seat.whole();
+    }
     let pending = front.core.submit(order).await.map_err(|part| unfit(&part))?;
     Ok(message::encode(pending.answer().await))
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -131,11 +131,8 @@
 impl Reloads {
     /// Takes over what holds whatever the routes are.
     pub fn take(&self, reload: &Reload) {
-        let moved = self.discovery.send_if_modified(|addr| {
-            let moved = *addr != reload.discovery;
-            *addr = reload.discovery;
-            moved
-        });
+        // Also at the same address: another service may stand behind it, and the watch there may have fallen silent.
+        let moved = self.discovery.send_replace(reload.discovery) != reload.discovery;
         if let Some(log) = &self.access_log {
             log.reopen();
         }
@@ -345,7 +342,8 @@
             core.tell(portals(iscsi)).await;
         }
         let (discovery, addr) = watch::channel(config.discovery);
-        let directory = http::Directory::new(addr, connect_timeout, core.clone(), version);
+        let watch = http::watch::Watch::new(config.settings.ask_within());
+        let directory = http::Directory::new(addr, connect_timeout, core.clone(), watch, version);
         actix_rt::spawn(directory.run(asked));
         let second = iscsi.as_ref().map(|(listener, _)| listener.local_addr()).transpose()?;
         let second = second.map_or("off".to_string(), |addr| addr.to_string());
@@ -461,6 +459,7 @@
         if let Some(log) = &self.reloads.access_log {
             log.settle(LAST_LINES).await;
         }
+        clients.end();
         let open = self.core.open();
         tracing::info!(open, connections = clients.open(), sessions = sessions.get(), "ended");
         Ok(())
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -632,7 +632,7 @@
             && self.may_reach(h.reach, node)
     }
 
-    /// Whether an attempt may begin, asked when its connection is up. A node told to have started since counts anew.
+    /// Whether an attempt may begin now that its connection is up. A node started since then counts anew.
     pub fn may_start(&self, now: Micros, id: RequestId, attempt: Attempt) -> bool {
         let h = self.requests.get(&id);
         let sent = h.and_then(|h| Some((h, h.tries.get(attempt.0 as usize)?)));
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -138,6 +138,11 @@
         self.rules.warm_within.unwrap_or(0)
     }
 
+    /// How long an instance may go without asking for the list; absent: the list is pushed, or nothing is said.
+    pub fn ask_within(&self) -> Option<Duration> {
+        self.rules.must_ask_in.filter(|within| *within > 0).map(Duration::from_micros)
+    }
+
     /// This instance's number, and how many there are.
     pub fn instances(&self) -> (u32, u32) {
         (self.my_number, self.siblings)
--- /dev/null
+++ b/tests/clients.rs
@@ -0,0 +1,276 @@
+//! The book of clients' connections: who makes room for whom, what counts as idle, and how a connection is closed.
+
+use rowanglade::net::http::Clients;
+use rowanglade::net::http::clients::{
+    BRIEFLY, Busy, Guarded, HEAD, IDLE, LINGER, LONG_IDLE, MOST_BEHIND, ROOMY_PART, SETTLED, UNREAD,
+};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Runs a story; paused, time passes only where the story says so, or nothing else is left to do.
+fn story(paused: bool, future: impl Future<Output = ()>) {
+    let mut runtime = tokio::runtime::Builder::new_current_thread();
+    let runtime = runtime.enable_all().start_paused(paused).build().expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, future);
+}
+
+async fn accepted(listener: &TcpListener) -> (TcpStream, TcpStream) {
+    let addr = listener.local_addr().expect("bound");
+    let client = TcpStream::connect(addr).await.expect("connected");
+    (client, listener.accept().await.expect("accepted").0)
+}
+
+// Clients that say nothing, or ask once and stay, held every descriptor, and accept failed for all others.
+#[test]
+fn silent_and_idle_connections_make_room_and_busy_ones_do_not() {
+    story(true, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let clients = Clients::new(2, 1);
+        let mut peers = Vec::new();
+        let mut seat = async || {
+            let (peer, stream) = accepted(&listener).await;
+            peers.push(peer);
+            clients.seat(stream)
+        };
+        let busy = seat().await.expect("room");
+        let open = busy.seat().busy();
+        let mut silent = seat().await.expect("room");
+        assert!(seat().await.is_none(), "a request may be under way on the one just opened");
+        tokio::time::advance(SETTLED).await;
+        let mut late = seat().await.expect("the silent one makes room");
+        assert_eq!(silent.read(&mut [0; 1]).await.expect("closed"), 0);
+        tokio::time::advance(HEAD).await;
+        clients.sweep();
+        assert_eq!(late.read(&mut [0; 1]).await.expect("closed"), 0);
+        drop((silent, late));
+        assert_eq!(clients.open(), 2, "the one that was swept keeps its place while it is being closed");
+        tokio::time::sleep(LINGER + Duration::from_millis(10)).await;
+        assert_eq!((clients.open(), busy.seat().ended()), (1, false));
+        drop(open);
+        tokio::time::advance(IDLE).await;
+        clients.sweep();
+        assert!(busy.seat().ended());
+    });
+}
+
+// An idle connection was closed on the request that had just come on it.
+#[test]
+fn a_request_that_came_before_an_idle_connection_is_closed_is_read() {
+    story(false, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let clients = Clients::new(9, 9);
+        let (mut peer, stream) = accepted(&listener).await;
+        let mut guarded = clients.seat(stream).expect("room");
+        drop(guarded.seat().busy());
+        peer.write_all(b"GET").await.expect("written");
+        guarded.stream().readable().await.expect("it comes");
+        guarded.seat().end();
+        assert_eq!(guarded.read(&mut [0; 9]).await.expect("read"), 3);
+        assert!(!guarded.seat().ended(), "it takes the answer");
+        drop(guarded.seat().busy());
+        guarded.seat().end();
+        assert_eq!(guarded.read(&mut [0; 9]).await.expect("closed"), 0);
+    });
+}
+
+// A request came just as its connection was closed for standing idle, which nobody needed to be closed.
+#[test]
+fn where_there_is_room_idle_connections_stay_for_long() {
+    story(true, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let clients = Clients::new(2 * ROOMY_PART, 2 * ROOMY_PART);
+        let mut seats = Vec::new();
+        for open in 1..=3 {
+            let (peer, stream) = accepted(&listener).await;
+            let seat = clients.seat(stream).expect("room");
+            drop(seat.seat().busy());
+            seats.push((peer, seat));
+            tokio::time::advance(IDLE).await;
+            clients.sweep();
+            let ended = seats.iter().any(|(_, s)| s.seat().ended());
+            assert_eq!(ended, open > 2, "{open} of {} places", 2 * ROOMY_PART);
+        }
+        seats.truncate(1);
+        let clients = Clients::new(2 * ROOMY_PART, 2 * ROOMY_PART);
+        let (_peer, stream) = accepted(&listener).await;
+        let seat = clients.seat(stream).expect("room");
+        drop(seat.seat().busy());
+        tokio::time::advance(LONG_IDLE).await;
+        clients.sweep();
+        assert!(seat.seat().ended(), "not for ever");
+    });
+}
+
+// A long answer was cut off: its last bytes waited for a slow client, and the connection counted as idle.
+#[test]
+fn a_connection_whose_client_is_slow_to_take_an_answer_is_not_idle() {
+    story(true, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let clients = Clients::new(1, 9);
+        let (peer, stream) = accepted(&listener).await;
+        let mut slow = clients.seat(stream).expect("room");
+        drop(slow.seat().busy());
+        let mut filled = 0;
+        while let Ok(Ok(written)) =
+            tokio::time::timeout(Duration::from_millis(1), AsyncWriteExt::write(&mut slow, &[0; 1 << 16]))
+                .await
+        {
+            filled += written;
+        }
+        tokio::time::advance(IDLE).await;
+        clients.sweep();
+        assert!(!slow.seat().ended(), "{filled} bytes wait for their client");
+        assert!(clients.seat(accepted(&listener).await.1).is_none(), "it makes no room");
+        tokio::time::advance(UNREAD).await;
+        clients.sweep();
+        assert!(slow.seat().ended(), "a client that takes nothing at all");
+        drop(peer);
+    });
+}
+
+// A crowd of clients that each ask once and stay held all the connections that clients may have.
+#[test]
+fn beyond_their_number_idle_connections_are_closed_soon_the_oldest_first() {
+    story(true, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let clients = Clients::new(9, 2);
+        let mut seats = Vec::new();
+        for _ in 0..4 {
+            let (peer, stream) = accepted(&listener).await;
+            let seat = clients.seat(stream).expect("room");
+            drop(seat.seat().busy());
+            tokio::time::advance(Duration::from_millis(1)).await;
+            seats.push((peer, seat));
+        }
+        let ended = || {
+            clients.sweep();
+            seats.iter().map(|(_, s)| s.seat().ended()).collect::<Vec<_>>()
+        };
+        assert_eq!(ended(), [false; 4], "their clients may just go on");
+        tokio::time::advance(BRIEFLY).await;
+        assert_eq!(ended(), [true, true, false, false]);
+        clients.keep();
+        tokio::time::advance(IDLE).await;
+        assert_eq!(ended(), [true, true, false, false], "no new ones would come for them");
+    });
+}
+
+/// A connection whose handler has a whole request, and the client's side of it.
+async fn with_a_request(clients: &Clients, listener: &TcpListener) -> (TcpStream, Guarded, Busy) {
+    let (peer, stream) = accepted(listener).await;
+    let guarded = clients.seat(stream).expect("room");
+    let busy = guarded.seat().busy();
+    guarded.seat().whole();
+    (peer, guarded, busy)
+}
+
+// A close over unread bytes resets the connection, and the last answer went with it.
+#[test]
+fn closed_over_unread_bytes_a_connection_still_brings_what_was_written() {
+    story(false, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let clients = Clients::new(9, 9);
+        let (mut peer, mut guarded, busy) = with_a_request(&clients, &listener).await;
+        guarded.write_all(b"the last answer").await.expect("written");
+        // A request crosses the close, and another one comes after writing was shut down.
+        peer.write_all(&[b'x'; 9_000]).await.expect("written");
+        guarded.stream().readable().await.expect("it comes");
+        drop((busy, guarded));
+        tokio::task::yield_now().await;
+        peer.write_all(&[b'y'; 9_000]).await.expect("nothing is reset");
+        let mut read = String::new();
+        peer.read_to_string(&mut read).await.expect("an end, not a reset");
+        assert_eq!(read, "the last answer");
+        drop(peer);
+        while clients.open() > 0 {
+            tokio::task::yield_now().await;
+        }
+    });
+}
+
+// A client that neither closes nor stops sending would hold its connection's place for ever.
+#[test]
+fn what_is_read_and_dropped_before_a_close_is_bounded_and_makes_room() {
+    story(true, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let clients = Clients::new(1, 1);
+        let (_first, guarded, busy) = with_a_request(&clients, &listener).await;
+        drop((busy, guarded));
+        assert_eq!(clients.open(), 1, "it waits for its client to close");
+        tokio::time::advance(SETTLED).await;
+        let (_second, stream) = accepted(&listener).await;
+        let guarded = clients.seat(stream).expect("one that is being closed makes room");
+        assert_eq!(clients.open(), 1);
+        drop(guarded);
+        tokio::time::sleep(LINGER + Duration::from_millis(10)).await;
+        assert_eq!(clients.open(), 0, "not for ever");
+    });
+}
+
+// Bytes behind a request hid that its client had left, and kept the handler spinning once a buffer was full.
+#[test]
+fn a_client_that_sends_much_behind_its_request_and_goes_is_seen_to_go() {
+    story(false, async {
+        for sent in [1, MOST_BEHIND - 1, 4 * MOST_BEHIND] {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+            let clients = Clients::new(9, 9);
+            let (mut peer, mut guarded, busy) = with_a_request(&clients, &listener).await;
+            let seat = std::rc::Rc::clone(guarded.seat());
+            let reading = tokio::task::spawn_local(async move {
+                let (mut taken, mut buf) = (0, vec![0; 1 << 16]);
+                while let Ok(read @ 1..) = guarded.read(&mut buf).await {
+                    taken += read;
+                }
+                (taken, guarded)
+            });
+            peer.write_all(&vec![b'x'; sent]).await.expect("written");
+            drop(peer);
+            tokio::time::timeout(Duration::from_millis(300), seat.gone()).await.expect("it is seen");
+            let (taken, guarded) = reading.await.expect("its end is read");
+            assert!(taken <= 2 * MOST_BEHIND, "{taken} of {sent} bytes are held");
+            assert_eq!(seat.closes(), sent > 2 * MOST_BEHIND, "what was dropped leaves a gap: {sent}");
+            drop((busy, guarded));
+        }
+    });
+}
+
+// Unread bytes alone kept the end of their connection from being seen.
+#[test]
+fn a_client_is_seen_to_go_while_nobody_reads_what_it_sent() {
+    story(false, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let clients = Clients::new(9, 9);
+        for reset in [false, true] {
+            let (mut peer, guarded, busy) = with_a_request(&clients, &listener).await;
+            peer.write_all(&[b'x'; 100]).await.expect("written");
+            let waited = tokio::time::timeout(Duration::from_millis(120), guarded.seat().gone()).await;
+            assert!(waited.is_err(), "it waits for its answer");
+            if reset {
+                socket2::SockRef::from(&peer).set_linger(Some(Duration::ZERO)).expect("set");
+            }
+            drop(peer);
+            tokio::time::timeout(Duration::from_millis(300), guarded.seat().gone())
+                .await
+                .expect("it is seen");
+            drop((busy, guarded));
+        }
+    });
+}
+
+// A new connection beyond the places was closed without a word: its client had to take that for a failure.
+#[test]
+fn a_connection_that_finds_no_place_is_told_when_to_come_again() {
+    story(false, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let clients = Clients::new(1, 1);
+        let (_first, guarded, busy) = with_a_request(&clients, &listener).await;
+        let (mut peer, stream) = accepted(&listener).await;
+        peer.write_all(b"GET / HTTP/1.1\r\n\r\n").await.expect("written");
+        assert!(clients.seat(stream).is_none());
+        let mut told = String::new();
+        peer.read_to_string(&mut told).await.expect("an end, not a reset");
+        assert!(told.starts_with("HTTP/1.1 503") && told.contains("Retry-After"), "{told}");
+        drop((busy, guarded));
+    });
+}
--- a/tests/network/endings.rs
+++ b/tests/network/endings.rs
@@ -7,6 +7,23 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
+/// A listener with the shortest queue that there is.
+fn short() -> (TcpListener, SocketAddr) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("bound");
+    socket.listen(0).expect("listening");
+    let listener = std::net::TcpListener::from(socket);
+    listener.set_nonblocking(true).expect("set");
+    let addr = listener.local_addr().expect("bound");
+    (TcpListener::from_std(listener).expect("listening"), addr)
+}
+
+/// Connections that fill a listener's queue.
+fn fill(addr: SocketAddr) -> Vec<std::net::TcpStream> {
+    let wait = Duration::from_millis(50);
+    std::iter::from_fn(|| std::net::TcpStream::connect_timeout(&addr, wait).ok()).collect()
+}
+
 /// A listener whose queue is full: connections to it come up once they are let in.
 struct Full {
     listener: TcpListener,
@@ -16,18 +33,8 @@
 
 impl Full {
     fn new() -> Full {
-        let socket =
-            socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("bound");
-        socket.listen(0).expect("listening");
-        let listener = std::net::TcpListener::from(socket);
-        listener.set_nonblocking(true).expect("set");
-        let addr = listener.local_addr().expect("bound");
-        let mut fillers = Vec::new();
-        while let Ok(filler) = std::net::TcpStream::connect_timeout(&addr, Duration::from_millis(50)) {
-            fillers.push(filler);
-        }
-        Full { listener: TcpListener::from_std(listener).expect("listening"), addr, fillers }
+        let (listener, addr) = short();
+        Full { listener, addr, fillers: fill(addr) }
     }
 
     /// Lets all in that wait or come, and follows the script with those that ask something.
@@ -144,43 +151,19 @@
 #[test]
 fn a_repeat_whose_window_ends_while_a_connection_comes_up_is_not_sent() {
     story(async {
-        let full = Full::new();
-        let addr = full.addr;
+        let (listener, addr) = short();
         let change = |json: &mut serde_json::Value| {
             patient(json);
             json["settings"]["grades"][1]["memory-span"] = 600_000.into();
         };
         let node = start_with(&[line(addr, 0, "active")], None, None, change).await;
         let mut client = TcpStream::connect(node.http).await.expect("connected");
-        // The first attempt may have run: its connection is closed on it. The next one comes up late.
-        let mut fillers = full.fillers;
-        let first = fillers.pop().expect("one at least");
-        drop((first, fillers));
-        let (listener, ended) = (full.listener, std::rc::Rc::new(tokio::sync::Notify::new()));
-        let broken = std::rc::Rc::clone(&ended);
-        let script = actix_rt::spawn(async move {
-            loop {
-                let (mut stream, _) = listener.accept().await.expect("accepted");
-                if read_message(&mut stream).await.is_some() {
-                    // Full again before the attempt's end is told.
-                    let addr = listener.local_addr().expect("bound");
-                    let mut fillers = Vec::new();
-                    loop {
-                        let filler = TcpStream::connect(addr);
-                        match tokio::time::timeout(Duration::from_millis(20), filler).await {
-                            Ok(filler) => fillers.push(filler.expect("connected")),
-                            Err(_) => break,
-                        }
-                    }
-                    drop(stream);
-                    broken.notify_one();
-                    return (listener, fillers);
-                }
-            }
-        });
         sent(&mut client, &patient_request("deposit", "w4")).await;
-        ended.notified().await;
-        let (listener, fillers) = script.await.expect("no panic");
+        // The first attempt may have run: its connection is closed on it. The next one comes up late.
+        let (mut stream, _) = listener.accept().await.expect("accepted");
+        read_message(&mut stream).await.expect("the first attempt");
+        let fillers = fill(addr);
+        drop(stream);
         tokio::time::sleep(Duration::from_millis(50)).await;
         drop(fillers);
         let mut target = peer_on(listener, vec![ok("twice")]);
--- /dev/null
+++ b/tests/watch.rs
@@ -0,0 +1,82 @@
+//! When discovery is asked again, in every order of ends.
+
+use rowanglade::net::http::watch::{Call, End, Next, Watch};
+use std::time::Duration;
+
+/// What the platform counts: from when a watch's news is told, whether or not it came, and the shortest time for which the
+/// old list may be followed from then on, of the settings known.
+const TOLD_AFTER_WAIT: Duration = Duration::from_secs(2);
+const TOLD_AFTER_SILENCE: Duration = Duration::from_secs(6);
+const GRACE: Duration = Duration::from_millis(250);
+
+fn watch() -> Watch {
+    Watch::new(Some(Duration::from_secs(10)))
+}
+
+fn call(next: Next) -> Call {
+    let Next::Call(call) = next else { panic!("no call follows") };
+    call
+}
+
+/// A watch that is alive, and its present call.
+fn alive() -> (Watch, Call) {
+    let mut watch = watch();
+    let held = call(watch.next(End::Told));
+    (watch, held)
+}
+
+// After a watch fell silent the next call was made after 5 to 15 s where many instances take turns. By then targets
+// that drained had been sent to for seconds: on the fleet day with silent watches 293 times.
+#[test]
+fn a_silent_watch_is_opened_anew_while_the_old_list_may_still_be_followed() {
+    let (mut watch, held) = alive();
+    let until = (held.hold + TOLD_AFTER_WAIT).max(TOLD_AFTER_SILENCE) + GRACE;
+    let anew = call(watch.next(End::Silent));
+    assert!(anew.hold < Duration::from_millis(10), "it brings what was missed");
+    // The call that opens it may fall silent as well: another is made beside it, and half a second is left for that.
+    let beside = held.patience() + anew.beside.expect("another call");
+    assert!(beside + Duration::from_millis(500) <= until, "{beside:?} of {until:?}");
+    let first = self::watch().first();
+    assert!(first.patience() + GRACE <= TOLD_AFTER_SILENCE + GRACE - Duration::from_secs(1));
+}
+
+#[test]
+fn silence_is_met_once_at_once_and_then_as_a_failure() {
+    let mut watch = watch();
+    assert!(call(watch.next(End::Silent)).beside.is_some());
+    assert_eq!(watch.next(End::Silent), Next::Stop);
+    assert!(call(watch.next(End::Silent)).beside.is_some(), "a new run, on the core's word");
+    call(watch.next(End::Told));
+    assert!(call(watch.next(End::Silent)).beside.is_some(), "another watch");
+}
+
+// A watch that was reset waited for its instance's turn among all of them, and what drained just then was sent to.
+#[test]
+fn a_watch_that_is_reset_is_opened_anew_at_once_and_once() {
+    let (mut watch, _) = alive();
+    assert!(call(watch.next(End::Broken)).hold < Duration::from_millis(10));
+    assert_eq!(watch.next(End::Broken), Next::Stop);
+    let (mut watch, _) = alive();
+    call(watch.next(End::Broken));
+    assert_eq!(call(watch.next(End::Told)).hold, Duration::from_secs(10));
+}
+
+#[test]
+fn where_discovery_is_down_or_overbooked_the_core_says_when_to_ask() {
+    for end in [End::Broken, End::Refused] {
+        let mut watch = watch();
+        assert_eq!(watch.next(end), Next::Stop);
+        call(watch.next(End::Silent));
+        assert_eq!(watch.next(end), Next::Stop);
+    }
+    let (mut watch, _) = alive();
+    assert_eq!(watch.next(End::Refused), Next::Stop, "another call would only add to its queue");
+}
+
+#[test]
+fn a_watch_waits_as_long_as_the_settings_leave_between_two_calls() {
+    let hold = |within: Option<u64>| {
+        call(Watch::new(within.map(Duration::from_millis)).next(End::Told)).hold.as_millis()
+    };
+    assert_eq!([None, Some(4_000), Some(1), Some(600_000)].map(hold), [10_000, 4_000, 1_000, 60_000]);
+}
