Close sessions in order as well, and log by id what becomes of an attempt

The close that the HTTP front uses is in src/net/close.rs now, and both fronts end with it, also where the login failed.

--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -384,6 +384,7 @@
             }
             _ => {}
         }
+        tracing::debug!(request = id.0, attempt = number.0, outcome = ?reply.outcome, "an attempt ended");
         let over = self.requests.get(&id).is_none_or(|o| o.answer.is_none());
         // What the answer takes on its way, once it has begun, says nothing of its target.
         let now = self.clock.now();
--- a/src/core/sending.rs
+++ b/src/core/sending.rs
@@ -82,6 +82,8 @@
         let Some(Some(out)) = open.attempts.get_mut(number.0 as usize) else { return false };
         let there = self.targets.get(&out.node).is_some_and(|target| target.told.addr == out.addr);
         out.started = wanted && there && out.cancel.is_some();
+        let (id, target, started) = (&open.order.id, self.names.node_name(out.node), out.started);
+        tracing::debug!(id, attempt = number.0, target, started, "a connection is up");
         out.started
     }
 
--- /dev/null
+++ b/src/net/close.rs
@@ -0,0 +1,28 @@
+//! The end of a client's connection. A close over unread bytes resets it, and takes along what the client has not read
+//! yet: so writing is shut down, what still comes is read and dropped for a bounded while, and only then it is closed.
+
+use std::io;
+use std::net::Shutdown;
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// How long, and how much, is read and dropped.
+pub const LINGER: Duration = Duration::from_secs(1);
+const MOST_DROPPED: usize = 4 << 20;
+
+/// Shuts writing down, and reads and drops what still comes until the client has closed too.
+pub async fn close(stream: &TcpStream) {
+    let mut dropped = 0;
+    let mut scratch = [0; 4096];
+    if socket2::SockRef::from(stream).shutdown(Shutdown::Write).is_err() {
+        return;
+    }
+    while dropped < MOST_DROPPED && stream.readable().await.is_ok() {
+        match stream.try_read(&mut scratch) {
+            Ok(0) => return,
+            Ok(read) => dropped += read,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(_) => return,
+        }
+    }
+}
--- a/src/net/http/clients.rs
+++ b/src/net/http/clients.rs
@@ -4,6 +4,7 @@
 //! A close over unread bytes resets the connection, and takes along what the client has not read yet. So writing is shut
 //! down first, what still comes is read and dropped for a bounded while, and only then the connection is closed.
 
+use crate::net::close::{LINGER, close};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
@@ -32,9 +33,6 @@
 /// that, a request or an answer may just be under way.
 pub const SETTLED: Duration = Duration::from_millis(50);
 
-/// How long, and how much, is read and dropped before a connection is closed.
-pub const LINGER: Duration = Duration::from_secs(1);
-const MOST_DROPPED: usize = 4 << 20;
 /// Bytes behind a request that is with its handler, at most: clients send one request at a time. What comes beyond them
 /// is dropped, and the connection ends with the answers to what came before.
 pub const MOST_BEHIND: usize = 32 * 1024;
@@ -322,23 +320,6 @@
     }
 }
 
-/// Shuts writing down, and reads and drops what still comes until the client has closed too.
-async fn close(stream: &TcpStream) {
-    let mut dropped = 0;
-    let mut scratch = [0; 4096];
-    if socket2::SockRef::from(stream).shutdown(Shutdown::Write).is_err() {
-        return;
-    }
-    while dropped < MOST_DROPPED && stream.readable().await.is_ok() {
-        match stream.try_read(&mut scratch) {
-            Ok(0) => return,
-            Ok(read) => dropped += read,
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-            Err(_) => return,
-        }
-    }
-}
-
 /// A client's stream. Once its seat is ended it reads as closed, and takes nothing more. Dropped, it is closed in order,
 /// and keeps its place meanwhile.
 #[derive(Debug)]
--- a/src/net/iscsi/front.rs
+++ b/src/net/iscsi/front.rs
@@ -2,6 +2,7 @@
 
 use crate::core::{Answer, Content, Handle, Order, Origin, Unfit, Wire};
 use crate::net::Phase;
+use crate::net::close::{LINGER, close};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use futures_util::future::{AbortHandle, Abortable, LocalBoxFuture};
@@ -101,7 +102,20 @@
     let client = stream.peer_addr().ok().map(|peer| peer.ip());
     let (from, mut out) = stream.into_split();
     let mut frames = Frames::new(from);
-    let logged_in = login::accept(&mut frames, &mut out, &front.name, WINDOW);
+    let ended = log_in_and_run(front, &mut frames, &mut out, client, number).await;
+    // Whatever was open has lost its client by now. The last word reaches it, whatever it still sends.
+    let _ = tokio::time::timeout(LINGER, close(out.as_ref())).await;
+    ended
+}
+
+async fn log_in_and_run(
+    front: &Front,
+    frames: &mut Frames<OwnedReadHalf>,
+    out: &mut OwnedWriteHalf,
+    client: Option<IpAddr>,
+    number: u64,
+) -> io::Result<()> {
+    let logged_in = login::accept(frames, out, &front.name, WINDOW);
     let settled = tokio::time::timeout(LOGIN, logged_in).await??;
     let session = Session {
         front,
@@ -143,7 +157,7 @@
     settled: Settled,
     stat_sn: u32,
     exp_cmd_sn: u32,
-    out: OwnedWriteHalf,
+    out: &'a mut OwnedWriteHalf,
     tasks: HashMap<u32, Task>,
     /// Dropped with the session, they tell the core that the client has gone.
     answers: FuturesUnordered<Abortable<LocalBoxFuture<'static, Ended>>>,
@@ -151,7 +165,7 @@
 }
 
 impl Session<'_> {
-    async fn run(mut self, mut frames: Frames<OwnedReadHalf>) -> io::Result<()> {
+    async fn run(mut self, frames: &mut Frames<OwnedReadHalf>) -> io::Result<()> {
         let mut ending = self.front.ending.clone();
         let mut asked_to_leave = false;
         loop {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admin;
 mod budget;
+pub mod close;
 pub mod fleet;
 pub mod http;
 pub mod iscsi;
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -1,8 +1,9 @@
 //! The book of clients' connections: who makes room for whom, what counts as idle, and how a connection is closed.
 
+use rowanglade::net::close::LINGER;
 use rowanglade::net::http::Clients;
 use rowanglade::net::http::clients::{
-    BRIEFLY, Busy, Guarded, HEAD, IDLE, LINGER, LONG_IDLE, MOST_BEHIND, ROOMY_PART, SETTLED, UNREAD,
+    BRIEFLY, Busy, Guarded, HEAD, IDLE, LONG_IDLE, MOST_BEHIND, ROOMY_PART, SETTLED, UNREAD,
 };
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/tests/network/iscsi.rs
+++ b/tests/network/iscsi.rs
@@ -509,3 +509,51 @@
         node.run.await.expect("no panic").expect("no error");
     });
 }
+
+// A close over unread bytes reset the connection, which takes along the last word where its client has not got it yet.
+#[test]
+fn the_last_word_of_a_session_arrives_though_its_client_goes_on_sending() {
+    story(async {
+        let box0 = target(vec![]).await;
+        let node = node(&box0).await;
+        let mut told = Vec::new();
+        for refused in [false, true] {
+            let mut client = match refused {
+                false => Client::log_in(&node).await,
+                true => {
+                    let stream = TcpStream::connect(node.iscsi.expect("on")).await.expect("connected");
+                    let (from, out) = stream.into_split();
+                    Client { frames: Frames::new(from), out, cmd_sn: 1 }
+                }
+            };
+            let cmd_sn = client.cmd_sn;
+            let last = match refused {
+                false => {
+                    Pdu::LogoutRequest { immediate: true, reason: 0, itt: 1, cid: 0, cmd_sn, exp_stat_sn: 0 }
+                }
+                true => Pdu::LoginRequest(Login::default()),
+            };
+            // Far more than one read takes, behind what is answered with the connection's end.
+            client.out.write_all(&[&last.encode()[..], &[0; 256 * 1024]].concat()).await.expect("written");
+            told.push(match client.frames.next().await {
+                Ok(Pdu::LoginResponse { status, .. }) => format!("login refused {status:x}"),
+                Ok(Pdu::LogoutResponse { .. }) => "logged out".to_string(),
+                other => format!("{other:?}"),
+            });
+            told.push(match client.frames.next().await {
+                Err(Unreadable::End) => "end".to_string(),
+                other => format!("{other:?}"),
+            });
+            let more = client.out.write_all(&[0; 512]).await;
+            told.push(more.map_or_else(|e| format!("reset: {:?}", e.kind()), |()| "no reset".to_string()));
+        }
+        assert_snapshot!(told.join("\n"), @r"
+        logged out
+        end
+        no reset
+        login refused 200
+        end
+        no reset
+        ");
+    });
+}
