Watch a pushed list all of the time: nobody asked for it, and every drain was missed

Where the settings say "pushed", the list's actor opens a watch by itself from the start, anew at once when it ends, and then every quarter of the grace on drains (20 to 500 ms): what the agent gets at discovery's return counts at once. Another word in settings.discovery is an error that names the key. Tests: two stories over loopback and every order of ends, each failing without it.

--- a/src/net/http/discovery.rs
+++ b/src/net/http/discovery.rs
@@ -159,9 +159,19 @@
     /// Runs until the core lets go of the mailbox.
     pub async fn run(mut self, mut asked: mpsc::Receiver<ListMessage>) {
         let mut addr = self.addr.clone();
+        // Nobody asks for a list that is pushed, and what is pushed counts as told from the start on.
+        let mut call = self.watch.is_pushed().then(|| self.watch.first());
         loop {
+            while let Some(present) = call {
+                // A watch under way at the old address would bring no more news for as long as it holds.
+                call = tokio::select! {
+                    biased;
+                    () = changed(&mut addr) => Some(self.moved()),
+                    next = self.step(present) => next,
+                };
+            }
             self.watch.again();
-            let mut call = tokio::select! {
+            call = tokio::select! {
                 message = asked.recv() => match message {
                     Some(ListMessage::Watch) => Some(self.watch.first()),
                     Some(ListMessage::Fetch) => {
@@ -176,20 +186,21 @@
                 // Another address is asked at once, whatever wait the core is in after a failure at the old.
                 () = changed(&mut addr) => Some(self.moved()),
             };
-            while let Some(present) = call {
-                // A watch under way at the old address would bring no more news for as long as it holds.
-                call = tokio::select! {
-                    biased;
-                    () = changed(&mut addr) => Some(self.moved()),
-                    end = self.call(present) => match end.map(|end| self.watch.next(end)) {
-                        Some(Next::Call(next)) => Some(next),
-                        Some(Next::Stop) => {
-                            self.failed().await;
-                            None
-                        }
-                        None => None,
-                    },
-                };
+        }
+    }
+
+    /// One call and the wait behind it. None: the core says when the next is due.
+    async fn step(&mut self, present: Call) -> Option<Call> {
+        let end = self.call(present).await?;
+        match self.watch.next(end) {
+            Next::Call(next) => Some(next),
+            Next::After(pause, next) => {
+                tokio::time::sleep(pause).await;
+                Some(next)
+            }
+            Next::Stop => {
+                self.failed().await;
+                None
             }
         }
     }
@@ -225,7 +236,7 @@
                 page = get(&client, addr, version, call.hold) => page,
             }
         };
-        let end = match tokio::time::timeout(call.patience(), asked).await {
+        let end = match tokio::time::timeout(call.patience, asked).await {
             Ok(Ok(page)) => {
                 self.version = Some(page.version);
                 let kind = if page.full { ListKind::Full } else { ListKind::Changes };
--- a/src/net/http/watch.rs
+++ b/src/net/http/watch.rs
@@ -24,6 +24,14 @@
 /// A call that opens a watch anew gets another beside it after this long.
 const BESIDE: Duration = Duration::from_millis(500);
 
+/// Where the list is pushed: the part of the grace on drains that passes between two calls at most, and within which a
+/// call that does not wait is answered; within these bounds.
+const PUSHED_PART: u32 = 4;
+const SHORTEST_PACE: Duration = Duration::from_millis(20);
+const LONGEST_PACE: Duration = Duration::from_millis(500);
+/// An agent that does not answer is not asked faster than it may be able to.
+const PUSHED_PATIENCE: u32 = 4;
+
 /// How a call ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -43,17 +51,19 @@
     pub hold: Duration,
     /// After this long, another is made beside it.
     pub beside: Option<Duration>,
+    /// How long it may take in all.
+    pub patience: Duration,
 }
 
 impl Call {
     /// One that does not wait.
     pub fn at_once() -> Call {
-        Call { hold: AT_ONCE, beside: None }
+        Call { hold: AT_ONCE, beside: None, patience: PATIENCE_AT_ONCE }
     }
 
-    /// How long it may take in all.
-    pub fn patience(&self) -> Duration {
-        if self.hold > AT_ONCE { self.hold + PATIENCE } else { PATIENCE_AT_ONCE }
+    /// One that waits for news.
+    fn held(hold: Duration) -> Call {
+        Call { hold, beside: None, patience: hold + PATIENCE }
     }
 }
 
@@ -61,6 +71,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Next {
     Call(Call),
+    /// The same, so much later.
+    After(Duration, Call),
     /// Nothing: the core says when.
     Stop,
 }
@@ -77,18 +89,32 @@
     Anew,
 }
 
-/// A run of calls, from the core's word on.
+/// A run of calls, from the core's word on, or where the list is pushed from the start on.
 #[derive(Debug)]
 pub struct Watch {
     hold: Duration,
+    /// Where the list is pushed: how long a call that failed is behind the next.
+    pace: Option<Duration>,
     state: State,
 }
 
 impl Watch {
-    /// One that waits as long as the settings leave between two calls for the list; absent: they do not say.
-    pub fn new(ask_within: Option<Duration>) -> Watch {
+    /// One of a list that is asked for: it waits as long as the settings leave between two calls; absent: they do not
+    /// say.
+    pub fn asked(ask_within: Option<Duration>) -> Watch {
         let hold = ask_within.map_or(HOLD, |within| within.clamp(SHORTEST_HOLD, LONGEST_HOLD));
-        Watch { hold, state: State::Opening }
+        Watch { hold, pace: None, state: State::Opening }
+    }
+
+    /// One of a list that is pushed, where the old list may be followed for `grace` once the new one is told.
+    pub fn pushed(grace: Duration) -> Watch {
+        let pace = (grace / PUSHED_PART).clamp(SHORTEST_PACE, LONGEST_PACE);
+        Watch { hold: HOLD, pace: Some(pace), state: State::Opening }
+    }
+
+    /// Whether it is opened without the core's word.
+    pub fn is_pushed(&self) -> bool {
+        self.pace.is_some()
     }
 
     /// A new run.
@@ -99,22 +125,29 @@
     /// The first call only sets the watch up and brings what was missed; it does not wait, so that the core soon
     /// knows that it is told again.
     pub fn first(&self) -> Call {
-        Call::at_once()
+        let patience = self.pace.map_or(PATIENCE_AT_ONCE, |pace| pace * PUSHED_PATIENCE);
+        Call { patience, ..Call::at_once() }
     }
 
     pub fn next(&mut self, end: End) -> Next {
         match (self.state, end) {
             (_, End::Told) => {
                 self.state = State::Alive;
-                Next::Call(Call { hold: self.hold, beside: None })
+                Next::Call(Call::held(self.hold))
             }
-            (State::Opening | State::Alive, End::Silent) | (State::Alive, End::Broken) => {
+            (State::Alive, End::Silent | End::Broken) | (State::Opening, End::Silent)
+                if self.pace.is_none() =>
+            {
                 self.state = State::Anew;
-                Next::Call(Call { hold: AT_ONCE, beside: Some(BESIDE) })
+                Next::Call(Call { beside: Some(BESIDE), ..Call::at_once() })
             }
-            _ => {
+            (before, _) => {
                 self.state = State::Opening;
-                Next::Stop
+                match self.pace {
+                    None => Next::Stop,
+                    Some(_) if before == State::Alive => Next::Call(self.first()),
+                    Some(pace) => Next::After(pace, self.first()),
+                }
             }
         }
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -342,7 +342,10 @@
             core.tell(portals(iscsi)).await;
         }
         let (discovery, addr) = watch::channel(config.discovery);
-        let watch = http::watch::Watch::new(config.settings.ask_within());
+        let watch = match config.settings.list_is_pushed() {
+            true => http::watch::Watch::pushed(config.settings.drain_grace()),
+            false => http::watch::Watch::asked(config.settings.ask_within()),
+        };
         let directory = http::Directory::new(addr, connect_timeout, core.clone(), watch, version);
         actix_rt::spawn(directory.run(asked));
         let second = iscsi.as_ref().map(|(listener, _)| listener.local_addr()).transpose()?;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -117,6 +117,10 @@
     turn_gap: Option<Micros>,
 }
 
+/// The word of settings whose list comes only when it is asked for.
+const ON_REQUEST: &str = "on_request";
+const PUSHED: &str = "pushed";
+
 impl Settings {
     /// How long a target lets a connection stand idle.
     pub fn conn_idle(&self) -> Duration {
@@ -143,6 +147,16 @@
         self.rules.must_ask_in.filter(|within| *within > 0).map(Duration::from_micros)
     }
 
+    /// Whether the list is pushed to an instance, which need not ask for it.
+    pub fn list_is_pushed(&self) -> bool {
+        self.discovery == PUSHED
+    }
+
+    /// How long a target that has been announced as leaving may still be sent to.
+    pub fn drain_grace(&self) -> Duration {
+        Duration::from_micros(self.rules.drain_grace.unwrap_or(0))
+    }
+
     /// This instance's number, and how many there are.
     pub fn instances(&self) -> (u32, u32) {
         (self.my_number, self.siblings)
@@ -201,6 +215,9 @@
 
     pub fn translate(&self, names: &mut Names) -> Result<api::Settings, SettingsError> {
         let word = |field: String| SettingsError { field, problem: "holds an unknown word" };
+        if ![ON_REQUEST, PUSHED].contains(&self.discovery.as_str()) {
+            return Err(word("discovery".to_string()));
+        }
         names.zones = self.azs.clone();
         names.classes = self.grades.iter().map(|g| g.name.clone()).collect();
         names.plans = self.policies.iter().map(|p| p.name.clone()).collect();
@@ -262,7 +279,7 @@
                 ask_within: rules.must_ask_in.unwrap_or(0),
                 attempts: self.ceilings.max_attempts,
             },
-            list_is_asked: self.discovery == "on_request",
+            list_is_asked: !self.list_is_pushed(),
             usual_units: info.usual_units.unwrap_or(1.0),
             share_worth: info.within_share.unwrap_or(1.0),
             spare_worth: info.idle_worth.unwrap_or(1.0),
--- a/tests/network/endings.rs
+++ b/tests/network/endings.rs
@@ -172,3 +172,60 @@
         assert!(head.starts_with("HTTP/1.1 500"), "it may have run: {head}");
     });
 }
+
+fn pushed(json: &mut serde_json::Value) {
+    json["settings"]["discovery"] = "pushed".into();
+    json["settings"]["rules"]["must-ask-in"] = serde_json::Value::Null;
+}
+
+/// What a peer sees next, soon.
+async fn next_seen(peer: &mut Peer) -> String {
+    let seen = tokio::time::timeout(Duration::from_secs(2), peer.seen.recv()).await;
+    seen.expect("soon").expect("it lives")
+}
+
+// Nobody asks for a list that is pushed, and the program took that for nobody needing to watch it: drains were missed for
+// as long as it ran.
+#[test]
+fn a_pushed_list_is_watched_from_the_start_and_its_leaving_targets_get_nothing() {
+    story(async {
+        let mut target = peer(vec![ok("one"), ok("two")]).await;
+        let mut list = discovery(line(target.addr, 0, "leaving")).await;
+        let node = start_with(&[line(target.addr, 0, "active")], Some(list.addr), None, pushed).await;
+        let opened = [next_seen(&mut list).await, next_seen(&mut list).await];
+        assert!(
+            opened[0].contains("from=1&hold_ms=1 ") && opened[1].contains("from=2&hold_ms="),
+            "{opened:?}"
+        );
+        assert_eq!(ask(node.http, &request("view", "p1", 0, "")).await, "200 one");
+        list.go.notify_one();
+        next_seen(&mut list).await;
+        let answer = ask(node.http, &request("view", "p2", 0, "")).await;
+        assert!(answer.starts_with("503") || answer.starts_with("429"), "{answer}");
+        assert!(next_seen(&mut target).await.contains("p1"));
+        assert_eq!(seen_after(&mut target, Duration::from_millis(100)).await, Vec::<String>::new());
+    });
+}
+
+// What an agent gets at discovery's return counts at once: a wait that doubles would outlast the grace.
+#[test]
+fn the_agent_of_a_pushed_list_is_asked_again_within_the_grace_until_it_answers() {
+    story(async {
+        let target = peer(vec![ok("one")]).await;
+        let page = format!(r#"{{"version":9,"full":true,"servers":[{}]}}"#, line(target.addr, 0, "active"));
+        let refused = Step::Answer("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n".into());
+        let script = vec![Step::Last(String::new()), refused, Step::Silence, ok(&page), Step::Silence];
+        let mut list = peer(script).await;
+        let node = start_with(&[], Some(list.addr), None, pushed).await;
+        let begun = Instant::now();
+        let mut calls = Vec::new();
+        while calls.len() < 5 {
+            calls.push(next_seen(&mut list).await);
+            calls.retain(|seen| seen != "closed");
+        }
+        // A reset, a refusal and a silence, each followed by a quarter of the grace, which is 1 s.
+        assert!(begun.elapsed() < Duration::from_secs(3), "{:?}", begun.elapsed());
+        assert!(calls[4].contains("from=9&hold_ms="), "{calls:?}");
+        assert_eq!(ask(node.http, &request("view", "p3", 0, "")).await, "200 one");
+    });
+}
--- a/tests/watch.rs
+++ b/tests/watch.rs
@@ -10,7 +10,7 @@
 const GRACE: Duration = Duration::from_millis(250);
 
 fn watch() -> Watch {
-    Watch::new(Some(Duration::from_secs(10)))
+    Watch::asked(Some(Duration::from_secs(10)))
 }
 
 fn call(next: Next) -> Call {
@@ -34,10 +34,10 @@
     let anew = call(watch.next(End::Silent));
     assert!(anew.hold < Duration::from_millis(10), "it brings what was missed");
     // The call that opens it may fall silent as well: another is made beside it, and half a second is left for that.
-    let beside = held.patience() + anew.beside.expect("another call");
+    let beside = held.patience + anew.beside.expect("another call");
     assert!(beside + Duration::from_millis(500) <= until, "{beside:?} of {until:?}");
     let first = self::watch().first();
-    assert!(first.patience() + GRACE <= TOLD_AFTER_SILENCE + GRACE - Duration::from_secs(1));
+    assert!(first.patience + GRACE <= TOLD_AFTER_SILENCE + GRACE - Duration::from_secs(1));
 }
 
 #[test]
@@ -76,7 +76,31 @@
 #[test]
 fn a_watch_waits_as_long_as_the_settings_leave_between_two_calls() {
     let hold = |within: Option<u64>| {
-        call(Watch::new(within.map(Duration::from_millis)).next(End::Told)).hold.as_millis()
+        call(Watch::asked(within.map(Duration::from_millis)).next(End::Told)).hold.as_millis()
     };
     assert_eq!([None, Some(4_000), Some(1), Some(600_000)].map(hold), [10_000, 4_000, 1_000, 60_000]);
 }
+
+// Nothing said when to ask for a list that is pushed: no watch was ever open, and every drain was missed.
+#[test]
+fn a_pushed_list_is_watched_again_within_its_grace_however_calls_end() {
+    for (grace, pace) in [(0, 20), (250, 62), (1_000, 250), (60_000, 500)] {
+        let grace = Duration::from_millis(grace);
+        let mut watch = Watch::pushed(grace);
+        assert!(watch.is_pushed());
+        let first = watch.first();
+        for end in [End::Silent, End::Broken, End::Refused].repeat(3) {
+            let Next::After(pause, next) = watch.next(end) else { panic!("{end:?} ends the watch") };
+            assert_eq!((pause.as_millis(), next), (pace, first));
+            assert!(pause <= first.patience && first.patience <= grace.max(Duration::from_millis(80)));
+        }
+        let held = call(watch.next(End::Told));
+        assert_eq!(call(watch.next(End::Told)), held);
+        for end in [End::Silent, End::Broken, End::Refused] {
+            assert_eq!(call(watch.next(end)), first, "a watch that was alive is opened anew at once");
+            assert!(matches!(watch.next(end), Next::After(..)), "and then in its pace");
+            call(watch.next(End::Told));
+        }
+        assert!(held.patience < held.hold + TOLD_AFTER_WAIT - Duration::from_millis(500));
+    }
+}
