Force every wait to end while its target is announced as leaving or its client leaves

No fault was left to find here, so the tests stand by themselves: tests/network/leaving.rs holds a request back in each of four ways (no room at its target, its volume's limit, a connection that comes up late, between two attempts) and then announces its target as leaving, or has its client close, reset, or close over 256 KiB that nobody reads. The news comes by a watch, by one opened anew after a reset, after silence and after silence twice, at discovery's return, after SIGHUP, and where the list is pushed. Nothing is sent on, the client of a leaving target is refused, and what was held (room, units, the place in the queue) is there for the next request. A control shows that each wait by itself ends with the request being sent on. What the tests of late connections share is in tests/network/late.rs.

--- a/tests/network/endings.rs
+++ b/tests/network/endings.rs
@@ -1,48 +1,10 @@
 //! Requests that wait while what they wait for ends: the target is announced as leaving, the client goes, the time for
 //! a repeat passes. Connections come up late where a listener's queue is full: the system tries again after a second.
 
+use crate::late::*;
 use crate::site::*;
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
-use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
-
-/// A listener with the shortest queue that there is.
-fn short() -> (TcpListener, SocketAddr) {
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("bound");
-    socket.listen(0).expect("listening");
-    let listener = std::net::TcpListener::from(socket);
-    listener.set_nonblocking(true).expect("set");
-    let addr = listener.local_addr().expect("bound");
-    (TcpListener::from_std(listener).expect("listening"), addr)
-}
-
-/// Connections that fill a listener's queue.
-fn fill(addr: SocketAddr) -> Vec<std::net::TcpStream> {
-    let wait = Duration::from_millis(50);
-    std::iter::from_fn(|| std::net::TcpStream::connect_timeout(&addr, wait).ok()).collect()
-}
-
-/// A listener whose queue is full: connections to it come up once they are let in.
-struct Full {
-    listener: TcpListener,
-    addr: SocketAddr,
-    fillers: Vec<std::net::TcpStream>,
-}
-
-impl Full {
-    fn new() -> Full {
-        let (listener, addr) = short();
-        Full { listener, addr, fillers: fill(addr) }
-    }
-
-    /// Lets all in that wait or come, and follows the script with those that ask something.
-    fn let_in(self, script: Vec<Step>) -> Peer {
-        drop(self.fillers);
-        peer_on(self.listener, script)
-    }
-}
+use tokio::net::TcpStream;
 
 /// Discovery that tells of nothing at first, and of these entries once it is told to.
 async fn discovery(entries: String) -> Peer {
@@ -52,35 +14,6 @@
     peer(vec![ok(&page(2, "")), Step::Wait(later), Step::Silence]).await
 }
 
-/// A connection may take long to come up, and a client waits longer.
-fn patient(json: &mut serde_json::Value) {
-    json["settings"]["ceilings"]["connect-timeout"] = 5_000_000.into();
-    for grade in 0..2 {
-        json["settings"]["grades"][grade]["promise"] = 4_000_000.into();
-        json["settings"]["grades"][grade]["hard-limit"] = 8_000_000.into();
-    }
-}
-
-fn patient_request(class: &str, id: &str) -> String {
-    request(class, id, 0, if class == "deposit" { "x" } else { "" }).replace("Ms: 1400", "Ms: 7000")
-}
-
-/// What a peer saw of requests once nothing can be on its way to it any more.
-async fn seen_after(peer: &mut Peer, wait: Duration) -> Vec<String> {
-    let mut seen = Vec::new();
-    while let Ok(Some(line)) = tokio::time::timeout(wait, peer.seen.recv()).await {
-        seen.push(line);
-    }
-    seen
-}
-
-/// The system tries a connection again after 1 s, and what comes up is used at once.
-const TRIED_AGAIN: Duration = Duration::from_millis(1_500);
-
-async fn sent(stream: &mut TcpStream, text: &str) {
-    stream.write_all(text.as_bytes()).await.expect("written");
-}
-
 // The decision to send was taken before the announcement, and the request went out when its connection came up: up to
 // the connect time-out later.
 #[test]
@@ -178,12 +111,6 @@
     json["settings"]["rules"]["must-ask-in"] = serde_json::Value::Null;
 }
 
-/// What a peer sees next, soon.
-async fn next_seen(peer: &mut Peer) -> String {
-    let seen = tokio::time::timeout(Duration::from_secs(2), peer.seen.recv()).await;
-    seen.expect("soon").expect("it lives")
-}
-
 // Nobody asks for a list that is pushed, and the program took that for nobody needing to watch it: drains were missed for
 // as long as it ran.
 #[test]
--- a/tests/network/main.rs
+++ b/tests/network/main.rs
@@ -6,6 +6,8 @@
 mod fleet;
 mod http;
 mod iscsi;
+mod late;
+mod leaving;
 mod lost_site;
 mod processes;
 mod replay;
--- a/tests/network/site.rs
+++ b/tests/network/site.rs
@@ -89,6 +89,8 @@
     Wait(String),
     /// Writes this and closes.
     Last(String),
+    /// Closes once it is told to go on.
+    Close,
     /// Says nothing until the other side closes.
     Silence,
 }
@@ -147,6 +149,7 @@
                 stream.write_all(text.as_bytes()).await.expect("written");
                 return;
             }
+            Some(Step::Close) => return go.notified().await,
             Some(Step::Silence) | None => {
                 let _ = stream.read(&mut [0; 1]).await;
                 let _ = tell.send("closed".to_string());
