Force the end of the program at every point of a request

tests/network/stopping.rs tells the program to end while requests are under way, half received, pipelined, on resting connections and in the moment in which those are closed (80 clients, one every 2 ms around it): each is answered whole and once, or its connection ends without a reset and nothing of it was sent on; what its target never answers is failed before the end. No fault was found here.

--- a/tests/network/main.rs
+++ b/tests/network/main.rs
@@ -13,5 +13,6 @@
 mod replay;
 mod routes;
 mod site;
+mod stopping;
 mod subset;
 mod upgrade;
