End an attempt at once whose target closes without a byte: it was read from without end

Seen: the new stories on the settings of the three deployments in deploy/sites: a class that is safe to repeat got 503 at its deadline where its target had closed the connection on the request. The log of that id has "a connection is up" and no end of the attempt for a whole second. Cause: crates/link/src/lib.rs head() ignored that more() had read nothing: an end of the stream without a byte left the buffer empty, and the loop read again, at full speed, until the client's time was up. Nothing was tried again, and the thread did not rest. Ruled out: the module (it had its two attempts), the pool (the same on a new connection and on one that has served).

--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -286,7 +286,10 @@
                 Some(head) => return Ok(head),
                 None if self.buffer.len() > LARGEST_HEAD => return Err(Fault::Broken),
                 None if self.buffer.is_empty() && informational == 0 => {
-                    self.more(None).await.map_err(|_| Fault::Unheard)?;
+                    // Its end without a byte is told by an empty read, again and again.
+                    if !self.more(None).await.map_err(|_| Fault::Unheard)? {
+                        return Err(Fault::Unheard);
+                    }
                 }
                 None => {
                     let stall = (!self.buffer.is_empty()).then_some(self.stall);
--- a/tests/network/endings.rs
+++ b/tests/network/endings.rs
@@ -200,3 +200,34 @@
         }
     });
 }
+
+// A target that closed without a byte was read from without end, at full speed, until the client's time was up: the request
+// was never tried again, and one core did nothing else.
+#[test]
+fn a_target_that_closes_without_a_byte_has_ended_the_attempt_at_once() {
+    story(async {
+        let mut target = peer(vec![Step::Last(String::new()), ok("again")]).await;
+        let node = start(&[line(target.addr, 0, "active")], None, None).await;
+        let asked = Instant::now();
+        assert_eq!(ask(node.http, &request("view", "c1", 0, "")).await, "200 again");
+        assert!(asked.elapsed() < Duration::from_millis(500), "{:?}", asked.elapsed());
+        assert_eq!(seen_after(&mut target, Duration::from_millis(50)).await.len(), 2);
+    });
+}
+
+// The same on a connection that has served before.
+#[test]
+fn a_resting_connection_that_its_target_closes_under_a_request_has_ended_the_attempt_at_once() {
+    story(async {
+        let mut target = peer(vec![ok("one"), Step::Last(String::new()), ok("again")]).await;
+        let node = start(&[line(target.addr, 0, "active")], None, None).await;
+        let mut client = TcpStream::connect(node.http).await.expect("connected");
+        assert_eq!(ask_on(&mut client, &request("view", "c2", 0, "")).await, "200 one");
+        // A connection rests 10 ms before it is used again.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let asked = Instant::now();
+        assert_eq!(ask_on(&mut client, &request("view", "c3", 0, "")).await, "200 again");
+        assert!(asked.elapsed() < Duration::from_millis(500), "{:?}", asked.elapsed());
+        assert_eq!(seen_after(&mut target, Duration::from_millis(50)).await.len(), 3);
+    });
+}
--- a/tests/network/main.rs
+++ b/tests/network/main.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod bodies;
+mod deployments;
 mod endings;
 mod fleet;
 mod http;
