Tell what waits for a session at once when it is called off, and log out in order

A request called off since its target was left out, or its client gone, kept its room and was not tried elsewhere; and a session that logged out was closed over what it had not read. The waiting ones are now looked at beside the login, each told at once as never sent when it is called off or out of time, 256 at most. Two stories with a login that comes late: the second waited out the login without this, the first holds the last check for both fronts.

--- a/src/net/iscsi/session.rs
+++ b/src/net/iscsi/session.rs
@@ -2,6 +2,7 @@
 
 use crate::core::{Attempt, Handle, Listed, Message, Probe, Reply, Report, TargetMessage, Wire, micros};
 use crate::interface::{ListKind, Load, NodeState, Outcome};
+use crate::net::close::{LINGER, close};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use futures_util::future::LocalBoxFuture;
@@ -12,6 +13,8 @@
 use rowanglade_iscsi::scsi::{self, Command};
 use std::collections::{HashMap, VecDeque};
 use std::io;
+use std::pin::Pin;
+use std::task::Poll;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -75,7 +78,7 @@
                     () = tokio::time::sleep_until(again), if drained => break,
                 }
             }
-            match self.open().await {
+            match self.opened(&mut waiting).await {
                 Ok(session) => {
                     if drained {
                         self.tell(NodeState::In).await;
@@ -103,30 +106,26 @@
         }
     }
 
-    async fn open(&self) -> io::Result<Session> {
-        let connecting = TcpStream::connect(self.line.addr);
-        let stream = tokio::time::timeout(self.figures.connect_timeout, connecting).await??;
-        stream.set_nodelay(true)?;
-        let (from, mut out) = stream.into_split();
-        let mut frames = Frames::new(from);
-        let login = login::log_in(&mut frames, &mut out, &self.figures.initiator, &self.line.name);
-        let (settled, seq) = tokio::time::timeout(self.figures.login_timeout, login).await??;
-        Ok(Session {
-            figures: self.figures.clone(),
-            frames,
-            out,
-            cmd_sn: settled.cmd_sn,
-            max_cmd_sn: seq.max_cmd_sn,
-            exp_stat_sn: settled.stat_sn,
-            settled,
-            next_itt: 1,
-            tasks: HashMap::new(),
-            ends: FuturesUnordered::new(),
-            heard: Instant::now(),
-            pinged: false,
-            leaving: false,
-            resting: false,
-        })
+    /// Opens a session. What waits for it and is called off or out of time meanwhile is told so at once.
+    async fn opened(&mut self, waiting: &mut VecDeque<TargetMessage>) -> io::Result<Session> {
+        let Target { line, figures, rx, .. } = self;
+        let open = Session::open(line, figures);
+        tokio::pin!(open);
+        loop {
+            tokio::select! {
+                biased;
+                at = unwanted(waiting) => {
+                    let message = waiting.remove(at);
+                    message.into_iter().for_each(|message| tell_unsent(message, Outcome::NotSent));
+                }
+                message = rx.recv(), if waiting.len() < MAILBOX => match message {
+                    Some(TargetMessage::Rest(_)) => {}
+                    Some(message) => waiting.push_back(message),
+                    None => return Err(broken("the core let go of the target")),
+                },
+                session = &mut open => return session,
+            }
+        }
     }
 
     /// The core's list learns what the session told. A target that is back counts as just started.
@@ -140,6 +139,36 @@
     }
 }
 
+/// Resolves with the place of the first that is called off or out of time.
+async fn unwanted(waiting: &mut VecDeque<TargetMessage>) -> usize {
+    let until = |message: &TargetMessage| match message {
+        TargetMessage::Attempt(attempt) => Some(attempt.until),
+        TargetMessage::Probe(probe) => Some(probe.until),
+        TargetMessage::Rest(_) => None,
+    };
+    let first = waiting.iter().enumerate().filter_map(|(at, message)| Some((until(message)?, at))).min();
+    let late = async {
+        match first {
+            Some((until, at)) => {
+                tokio::time::sleep_until(until).await;
+                at
+            }
+            None => std::future::pending().await,
+        }
+    };
+    let called_off = std::future::poll_fn(|cx| {
+        let ended = waiting.iter_mut().position(|message| match message {
+            TargetMessage::Attempt(attempt) => Pin::new(&mut attempt.cancel).poll(cx).is_ready(),
+            _ => false,
+        });
+        ended.map_or(Poll::Pending, Poll::Ready)
+    });
+    tokio::select! {
+        at = late => at,
+        at = called_off => at,
+    }
+}
+
 fn tell_unsent(message: TargetMessage, outcome: Outcome) {
     match message {
         TargetMessage::Attempt(attempt) => attempt.report.tell(Reply::bare(outcome)),
@@ -189,11 +218,46 @@
 }
 
 impl Session {
+    /// Connects and logs in.
+    async fn open(line: &Listed, figures: &Figures) -> io::Result<Session> {
+        let connecting = TcpStream::connect(line.addr);
+        let stream = tokio::time::timeout(figures.connect_timeout, connecting).await??;
+        stream.set_nodelay(true)?;
+        let (from, mut out) = stream.into_split();
+        let mut frames = Frames::new(from);
+        let login = login::log_in(&mut frames, &mut out, &figures.initiator, &line.name);
+        let (settled, seq) = tokio::time::timeout(figures.login_timeout, login).await??;
+        Ok(Session {
+            figures: figures.clone(),
+            frames,
+            out,
+            cmd_sn: settled.cmd_sn,
+            max_cmd_sn: seq.max_cmd_sn,
+            exp_stat_sn: settled.stat_sn,
+            settled,
+            next_itt: 1,
+            tasks: HashMap::new(),
+            ends: FuturesUnordered::new(),
+            heard: Instant::now(),
+            pinged: false,
+            leaving: false,
+            resting: false,
+        })
+    }
+
     async fn run(mut self, target: &mut Target, waiting: VecDeque<TargetMessage>) -> End {
         let end = match self.serve(target, waiting).await {
             Ok(end) => end,
             Err(error) => End::Broken(error),
         };
+        if matches!(end, End::Left | End::Mailbox) {
+            // Closed over unread bytes, the connection would be reset, and the logout might not arrive.
+            let (out, frames) = (self.out, self.frames);
+            actix_rt::spawn(async move {
+                let _ = tokio::time::timeout(LINGER, close(out.as_ref())).await;
+                drop(frames);
+            });
+        }
         // What was written whole may have run; the rest never did.
         for task in self.tasks.into_values() {
             if let Some(report) = task.report {
--- a/tests/network/iscsi.rs
+++ b/tests/network/iscsi.rs
@@ -1,17 +1,19 @@
 //! Stories on the iSCSI-style protocol: clients written here come in, and a stand-in target misbehaves on
 //! command.
 
-use crate::site::{Running, ask, request, start, story};
+use crate::late::{next_seen, patient, patient_request, seen_after, sent};
+use crate::site::{Running, ask, line, ok, peer, read_message, request, start, start_with, story};
 use bytes::Bytes;
 use insta::assert_snapshot;
 use rowanglade_iscsi::*;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 const LUN: u64 = 0x3b4d60021;
 
@@ -557,3 +559,94 @@
         ");
     });
 }
+
+/// A target that takes a login and answers it once it is told to, and tells of the commands that come then.
+async fn late_login() -> (Target, Rc<Notify>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+    let addr = listener.local_addr().expect("bound");
+    let (tell, seen) = mpsc::unbounded_channel();
+    let go = Rc::new(Notify::new());
+    let told = Rc::clone(&go);
+    actix_rt::spawn(async move {
+        let (stream, _) = listener.accept().await.expect("accepted");
+        let (from, mut out) = stream.into_split();
+        let mut frames = Frames::new(from);
+        let Ok(Pdu::LoginRequest(login)) = frames.next().await else { return };
+        let _ = tell.send("login".to_string());
+        told.notified().await;
+        let seq = Sequence { stat_sn: 0, exp_cmd_sn: login.cmd_sn, max_cmd_sn: login.cmd_sn + 8 };
+        let login = Login { data: Bytes::new(), ..login };
+        // The other side may have gone.
+        let _ = out.write_all(&Pdu::LoginResponse { login, seq, status: 0 }.encode()).await;
+        while let Ok(pdu) = frames.next().await {
+            let _ = tell.send(format!("{pdu:?}").split(' ').next().unwrap_or_default().to_string());
+        }
+    });
+    (Target { addr, seen }, go)
+}
+
+/// The operator's file for one such target, which may take its time with a login.
+fn patient_with(target: &Target) -> String {
+    format!(
+        "[iscsi]\nlisten = \"127.0.0.1:0\"\nname = \"iqn.test:front\"\nlogin_timeout_ms = 5000\n\
+         [[iscsi.volume]]\nlun = \"{LUN:x}\"\nplan = \"full\"\nshard = 0\nhosts = 1\n\
+         [[iscsi.target]]\nname = \"iqn.test:box\"\naddr = \"{}\"\nshard = 0\n",
+        target.addr
+    )
+}
+
+// Both fronts' clients wait for a session that comes up late.
+#[test]
+fn what_waits_for_a_login_is_not_sent_on_for_a_client_that_left() {
+    for over_http in [true, false] {
+        story(async move {
+            let (mut target, go) = late_login().await;
+            let node = start_with(&[], None, Some(&patient_with(&target)), patient).await;
+            if over_http {
+                let mut client = TcpStream::connect(node.http).await.expect("connected");
+                sent(&mut client, &patient_request("view", "g1")).await;
+                assert_eq!(target.saw(1).await, "login");
+                drop(client);
+            } else {
+                let mut client = Client::log_in(&node).await;
+                client.command(1, false, 1).await;
+                assert_eq!(target.saw(1).await, "login");
+                drop(client);
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            go.notify_one();
+            let heard = tokio::time::timeout(Duration::from_millis(300), target.seen.recv()).await;
+            assert!(heard.is_err(), "{over_http}: {heard:?}");
+        });
+    }
+}
+
+// What waited for a session was told of nothing until the login had come or failed: a request called off stayed with a
+// target that operators had left out.
+#[test]
+fn what_waits_for_a_login_is_called_off_at_once_when_its_target_is_left_out() {
+    story(async {
+        let (mut target, go) = late_login().await;
+        let mut other = peer(vec![ok("other")]).await;
+        let change = |json: &mut serde_json::Value| {
+            patient(json);
+            json["admin"] = "127.0.0.1:0".into();
+        };
+        let lines = [line(other.addr, 0, "active")];
+        let node = start_with(&lines, None, Some(&patient_with(&target)), change).await;
+        let admin = node.admin.expect("operators can call");
+        let mut client = TcpStream::connect(node.http).await.expect("connected");
+        sent(&mut client, &patient_request("view", "g2")).await;
+        assert_eq!(target.saw(1).await, "login");
+        let called = Instant::now();
+        let call = "PUT /targets/iqn.test:box/maint HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n";
+        assert_eq!(ask(admin, call).await, "200 close");
+        assert!(next_seen(&mut other).await.contains("g2"));
+        assert_eq!(read_message(&mut client).await.expect("answered").1, b"other");
+        assert!(called.elapsed() < Duration::from_millis(500), "{:?}", called.elapsed());
+        go.notify_one();
+        let heard = tokio::time::timeout(Duration::from_millis(300), target.seen.recv()).await;
+        assert!(!matches!(&heard, Ok(Some(word)) if word.contains("Command")), "{heard:?}");
+        assert!(seen_after(&mut other, Duration::from_millis(20)).await.is_empty(), "once");
+    });
+}
