--- a/tests/network/main.rs
+++ b/tests/network/main.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod bodies;
+mod broken_answers;
 mod deployments;
 mod endings;
 mod fleet;
@@ -14,6 +15,7 @@
 mod replay;
 mod routes;
 mod site;
+mod starting;
 mod stopping;
 mod subset;
 mod upgrade;
--- a/tests/network/site.rs
+++ b/tests/network/site.rs
@@ -91,6 +91,8 @@
     Last(String),
     /// Closes once it is told to go on.
     Close,
+    /// Writes this, and resets the connection: after so long.
+    Reset(String, std::time::Duration),
     /// Says nothing until the other side closes.
     Silence,
 }
@@ -150,6 +152,11 @@
                 return;
             }
             Some(Step::Close) => return go.notified().await,
+            Some(Step::Reset(text, after)) => {
+                stream.write_all(text.as_bytes()).await.expect("written");
+                tokio::time::sleep(after).await;
+                return stream.set_zero_linger().expect("set");
+            }
             Some(Step::Silence) | None => {
                 let _ = stream.read(&mut [0; 1]).await;
                 let _ = tell.send("closed".to_string());
