--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -6,7 +6,7 @@
 mod routes;
 
 use crate::config::{Config, Decided, Reload};
-use crate::node;
+use crate::initiator;
 use lexopt::prelude::*;
 use rowanglade_routing::check::Decision;
 use std::ffi::OsString;
@@ -160,9 +160,9 @@
     start_log();
     // The runtime of the HTTP libraries: one thread.
     let reload = move || Reload::load(variable, &operator);
-    match actix_rt::System::new().block_on(node::serve(config, reload)) {
+    match actix_rt::System::new().block_on(initiator::serve(config, reload)) {
         Ok(()) => Ok(()),
-        Err(error @ node::Error::Config(_)) => Err(Failure::usage(error)),
+        Err(error @ initiator::Error::Config(_)) => Err(Failure::usage(error)),
         Err(error) => Err(Failure::running(error)),
     }
 }
--- a/src/node.rs
+++ b/src/initiator.rs
@@ -105,9 +105,9 @@
             _ = interrupt.recv() => {}
         }
     };
-    let node = Node::start(config).await?;
-    let (reloads, listed) = (node.reloads(), node.core.listed());
-    let core = node.core.clone();
+    let initiator = Initiator::start(config).await?;
+    let (reloads, listed) = (initiator.reloads(), initiator.core.listed());
+    let core = initiator.core.clone();
     actix_rt::spawn(async move {
         while status.recv().await.is_some() {
             core.tell(Message::Status).await;
@@ -115,10 +115,10 @@
     });
     let asked = async move || hangup.recv().await.is_some();
     actix_rt::spawn(keep_reloading(asked, reload, reloads, listed));
-    Ok(node.run(told).await?)
+    Ok(initiator.run(told).await?)
 }
 
-/// Where a running node takes a new configuration.
+/// Where a running initiator takes a new configuration.
 #[derive(Clone, Debug)]
 pub struct Reloads {
     discovery: watch::Sender<http::Address>,
@@ -228,7 +228,7 @@
 }
 
 /// An initiator that listens.
-pub struct Node {
+pub struct Initiator {
     core: Handle,
     reloads: Reloads,
     http: TcpListener,
@@ -244,9 +244,9 @@
     patience: Duration,
 }
 
-impl Node {
+impl Initiator {
     /// Starts the core, the list and the listeners.
-    pub async fn start(config: Config) -> Result<Node, Error> {
+    pub async fn start(config: Config) -> Result<Initiator, Error> {
         let (gateway, names) = config.decide().map_err(Error::Config)?;
         let (keeper, mut listeners, welcome) = match meet(&config).await {
             None => (None, Listeners::default(), None),
@@ -362,7 +362,7 @@
             let (phase, budget) = (Rc::clone(&phase), budget.clone());
             (keeper, Controls { core: upgrades, ready, phase, budget, listeners }, Told { calls, seen })
         });
-        Ok(Node { core, reloads, http, iscsi, admin, phase, budget, keeper, classes, patience })
+        Ok(Initiator { core, reloads, http, iscsi, admin, phase, budget, keeper, classes, patience })
     }
 
     /// Where a new configuration is taken while it runs.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -75,10 +75,10 @@
 pub mod cli;
 pub mod config;
 pub mod core;
+pub mod initiator;
 pub mod interface;
 pub mod names;
 pub mod net;
-pub mod node;
 pub mod rules;
 pub mod settings;
 pub mod upgrade;
--- a/tests/network/site.rs
+++ b/tests/network/site.rs
@@ -1,7 +1,7 @@
 //! An initiator on loopback, and a story of what its peers saw.
 
 use rowanglade::config::Config;
-use rowanglade::node::{Node, Reloads};
+use rowanglade::initiator::{Initiator, Reloads};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -63,7 +63,7 @@
     };
     let config = Config::load(env, &[operator]).expect("usable");
     std::fs::remove_dir_all(&dir).expect("removed");
-    let node = Node::start(config).await.expect("it starts");
+    let node = Initiator::start(config).await.expect("it starts");
     let (http, iscsi) = (node.http_addr().expect("bound"), node.iscsi_addr().map(|a| a.expect("bound")));
     let admin = node.admin_addr();
     let (reloads, (end, told)) = (node.reloads(), oneshot::channel());
