Hear a slow agent of a pushed list: ask beside a call without an answer, not instead of it

Found by review of the watch on pushed lists: a call that opens it was given up after the grace (62 to 250 ms times four) and made again, so that an agent slower than that was never heard and its drains were missed for good. A call now stands for up to 5 s, and another is made beside it each grace, eight at most: one that is slow answers the first, one that was away the newest. For lists that are asked for nothing changes: one call, and two when a watch is opened anew. The story with an agent that answers its first call after four of them fails with one call at a time.

--- a/src/net/http/discovery.rs
+++ b/src/net/http/discovery.rs
@@ -5,6 +5,8 @@
 use crate::net::http::dial;
 use crate::net::http::watch::{Call, End, Next, Watch};
 use awc::Client;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use rowanglade_routing::BoxInfo;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -223,17 +225,15 @@
         };
         let version = self.version;
         let asked = async {
-            let first = get(&client, addr, version, call.hold);
-            tokio::pin!(first);
-            let Some(beside) = call.beside else { return first.await };
-            tokio::select! {
-                page = &mut first => return page,
-                () = tokio::time::sleep(beside) => {}
-            }
-            // The first to answer tells all that there is; the other is dropped.
-            tokio::select! {
-                page = &mut first => page,
-                page = get(&client, addr, version, call.hold) => page,
+            let mut calls = FuturesUnordered::from_iter([get(&client, addr, version, call.hold)]);
+            loop {
+                tokio::select! {
+                    // The first to answer tells all that there is; the others are dropped.
+                    Some(page) = calls.next() => return page,
+                    () = tokio::time::sleep(call.beside), if calls.len() < call.most => {
+                        calls.push(get(&client, addr, version, call.hold));
+                    }
+                }
             }
         };
         let end = match tokio::time::timeout(call.patience, asked).await {
--- a/src/net/http/watch.rs
+++ b/src/net/http/watch.rs
@@ -24,13 +24,14 @@
 /// A call that opens a watch anew gets another beside it after this long.
 const BESIDE: Duration = Duration::from_millis(500);
 
-/// Where the list is pushed: the part of the grace on drains that passes between two calls at most, and within which a
-/// call that does not wait is answered; within these bounds.
+/// Where the list is pushed: the part of the grace on drains that passes between two calls at most, within these bounds.
 const PUSHED_PART: u32 = 4;
 const SHORTEST_PACE: Duration = Duration::from_millis(20);
 const LONGEST_PACE: Duration = Duration::from_millis(500);
-/// An agent that does not answer is not asked faster than it may be able to.
-const PUSHED_PATIENCE: u32 = 4;
+/// There another call is made beside one that has not been answered for so many times that part, which is the grace: an
+/// agent that is back answers the new call, and one that is slow the old one. So many may be out.
+const PUSHED_BESIDE: u32 = 4;
+const PUSHED_MOST: usize = 8;
 
 /// How a call ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,8 +50,9 @@
 pub struct Call {
     /// How long it may wait for news.
     pub hold: Duration,
-    /// After this long, another is made beside it.
-    pub beside: Option<Duration>,
+    /// Each time that this long has passed, another is made beside it, up to so many in all.
+    pub beside: Duration,
+    pub most: usize,
     /// How long it may take in all.
     pub patience: Duration,
 }
@@ -58,12 +60,12 @@
 impl Call {
     /// One that does not wait.
     pub fn at_once() -> Call {
-        Call { hold: AT_ONCE, beside: None, patience: PATIENCE_AT_ONCE }
+        Call { hold: AT_ONCE, beside: BESIDE, most: 1, patience: PATIENCE_AT_ONCE }
     }
 
     /// One that waits for news.
     fn held(hold: Duration) -> Call {
-        Call { hold, beside: None, patience: hold + PATIENCE }
+        Call { hold, beside: BESIDE, most: 1, patience: hold + PATIENCE }
     }
 }
 
@@ -125,8 +127,9 @@
     /// The first call only sets the watch up and brings what was missed; it does not wait, so that the core soon
     /// knows that it is told again.
     pub fn first(&self) -> Call {
-        let patience = self.pace.map_or(PATIENCE_AT_ONCE, |pace| pace * PUSHED_PATIENCE);
-        Call { patience, ..Call::at_once() }
+        let Some(beside) = self.pace.map(|pace| pace * PUSHED_BESIDE) else { return Call::at_once() };
+        let patience = (beside * PUSHED_MOST as u32).min(PATIENCE_AT_ONCE);
+        Call { beside, most: PUSHED_MOST, patience, ..Call::at_once() }
     }
 
     pub fn next(&mut self, end: End) -> Next {
@@ -139,7 +142,7 @@
                 if self.pace.is_none() =>
             {
                 self.state = State::Anew;
-                Next::Call(Call { beside: Some(BESIDE), ..Call::at_once() })
+                Next::Call(Call { most: 2, ..Call::at_once() })
             }
             (before, _) => {
                 self.state = State::Opening;
--- a/tests/network/endings.rs
+++ b/tests/network/endings.rs
@@ -231,3 +231,28 @@
         assert_eq!(seen_after(&mut target, Duration::from_millis(50)).await.len(), 3);
     });
 }
+
+// An agent slower than a part of the grace was never heard: each call was given up and made again.
+#[test]
+fn the_agent_of_a_pushed_list_may_be_slow() {
+    story(async {
+        let target = peer(vec![ok("one")]).await;
+        let page = format!(r#"{{"version":9,"full":true,"servers":[{}]}}"#, line(target.addr, 0, "active"));
+        let Step::Answer(late) = ok(&page) else { unreachable!("it answers") };
+        let mut script = vec![Step::Wait(late)];
+        script.resize(20, Step::Silence);
+        let mut list = peer(script).await;
+        let change = |json: &mut serde_json::Value| {
+            pushed(json);
+            json["settings"]["rules"]["drain-grace"] = 100_000.into();
+        };
+        let node = start_with(&[], Some(list.addr), None, change).await;
+        // Calls are made beside the first until it is answered.
+        for _ in 0..4 {
+            assert!(!next_seen(&mut list).await.contains("from=9"));
+        }
+        list.go.notify_one();
+        while !next_seen(&mut list).await.contains("from=9&hold_ms=") {}
+        assert_eq!(ask(node.http, &request("view", "p4", 0, "")).await, "200 one");
+    });
+}
--- a/tests/watch.rs
+++ b/tests/watch.rs
@@ -34,7 +34,8 @@
     let anew = call(watch.next(End::Silent));
     assert!(anew.hold < Duration::from_millis(10), "it brings what was missed");
     // The call that opens it may fall silent as well: another is made beside it, and half a second is left for that.
-    let beside = held.patience + anew.beside.expect("another call");
+    let beside = held.patience + anew.beside;
+    assert_eq!(anew.most, 2, "another call, and no more");
     assert!(beside + Duration::from_millis(500) <= until, "{beside:?} of {until:?}");
     let first = self::watch().first();
     assert!(first.patience + GRACE <= TOLD_AFTER_SILENCE + GRACE - Duration::from_secs(1));
@@ -43,11 +44,11 @@
 #[test]
 fn silence_is_met_once_at_once_and_then_as_a_failure() {
     let mut watch = watch();
-    assert!(call(watch.next(End::Silent)).beside.is_some());
+    assert_eq!(call(watch.next(End::Silent)).most, 2);
     assert_eq!(watch.next(End::Silent), Next::Stop);
-    assert!(call(watch.next(End::Silent)).beside.is_some(), "a new run, on the core's word");
+    assert_eq!(call(watch.next(End::Silent)).most, 2, "a new run, on the core's word");
     call(watch.next(End::Told));
-    assert!(call(watch.next(End::Silent)).beside.is_some(), "another watch");
+    assert_eq!(call(watch.next(End::Silent)).most, 2, "another watch");
 }
 
 // A watch that was reset waited for its instance's turn among all of them, and what drained just then was sent to.
@@ -92,7 +93,11 @@
         for end in [End::Silent, End::Broken, End::Refused].repeat(3) {
             let Next::After(pause, next) = watch.next(end) else { panic!("{end:?} ends the watch") };
             assert_eq!((pause.as_millis(), next), (pace, first));
-            assert!(pause <= first.patience && first.patience <= grace.max(Duration::from_millis(80)));
+            // At the latest so long after the agent is back it is asked, and one that is slow is waited for.
+            assert!(pause <= first.beside && first.beside <= grace.max(Duration::from_millis(80)));
+            assert!(
+                first.most > 1 && first.patience >= 2 * first.beside && first.patience < TOLD_AFTER_SILENCE
+            );
         }
         let held = call(watch.next(End::Told));
         assert_eq!(call(watch.next(End::Told)), held);
