Close operators' calls as all other connections, and send their answers without delay

Seen on reading the whole change: docs/design/endings.md says that TCP_NODELAY is set on every stream, and src/net/admin/server.rs did not set it; its answer() also did by hand what src/net/close.rs does since.

--- a/src/net/admin/server.rs
+++ b/src/net/admin/server.rs
@@ -3,6 +3,7 @@
 use crate::core::Operation;
 use crate::net::Phase;
 use crate::net::admin::call::{self, Asked};
+use crate::net::close::close;
 use actix_codec::{Decoder, Encoder};
 use actix_http::body::BodySize;
 use actix_http::h1::{Codec, Message};
@@ -133,6 +134,7 @@
     service: &Service,
     whole: &Cell<bool>,
 ) -> io::Result<()> {
+    stream.set_nodelay(true)?;
     let mut codec = Codec::new(config);
     let request = tokio::time::timeout(HEAD, head(&mut stream, &mut codec)).await;
     whole.set(true);
@@ -144,10 +146,7 @@
     let mut bytes = BytesMut::new();
     codec.encode(Message::Item((response, BodySize::Sized(0))), &mut bytes)?;
     stream.write_all(&bytes).await?;
-    stream.shutdown().await?;
-    let mut rest = [0; 1024];
-    let away = async { while stream.read(&mut rest).await.is_ok_and(|read| read > 0) {} };
-    let _ = tokio::time::timeout(LINGER, away).await;
+    let _ = tokio::time::timeout(LINGER, close(&stream)).await;
     Ok(())
 }
 
