--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -39,12 +39,16 @@
         self.0 .0.elapsed().as_secs_f64() * 1e3
     }
 
+    /// Adds a line, and prints it.
     pub fn line(&self, text: impl AsRef<str>) {
+        print!("{}", self.quiet_line(text));
+    }
+
+    /// Adds a line without printing it, where there are thousands.
+    pub fn quiet_line(&self, text: impl AsRef<str>) -> String {
         let line = format!("{:9.1} ms  {}\n", self.ms(), text.as_ref());
-        let mut file = self.0 .1.lock().unwrap();
-        let _ = file.write_all(line.as_bytes());
-        let _ = file.flush();
-        print!("{line}");
+        let _ = self.0 .1.lock().unwrap().write_all(line.as_bytes());
+        line
     }
 }
 
