Give each iSCSI command a request id that no other process gives

Cause: a command's request id, which is also the idempotency key of a write, was the client's name, the number of the session and the number of the command. Each process counts sessions from 1, so a restarted process, a successor in a handover, and a second initiator with the same client gave ids and keys again that targets still knew, and targets dropped the writes as repeats. A client's name with control characters left the request without an id and a key.

Four tests with real processes failed before the change: restart and kill (2 of 4 writes dropped), two initiators (1 of 2), handover (2 of 4), and a name with a line break (no key).

Change: a session draws 128 random bits from the system, and an id is those and the command's number. Nothing of it depends on the process, on the configured seed or on the client's name. The login is logged with both at debug level. The tests' iSCSI client has its own file.

--- a/src/net/iscsi/front/commands.rs
+++ b/src/net/iscsi/front/commands.rs
@@ -199,7 +199,7 @@
         let volume = self.front.luns.get(&lun)?;
         let (class, deadline) = self.front.classes.get(usize::from(command.group))?;
         self.requests_submitted += 1;
-        let id = format!("{}.{}.{}", self.parameters.initiator, self.number, self.requests_submitted);
+        let id = self.id.request_id(self.requests_submitted);
         Some(Request {
             origin: RequestOrigin {
                 front: Protocol::Iscsi,
--- a/src/net/iscsi/front/mod.rs
+++ b/src/net/iscsi/front/mod.rs
@@ -4,6 +4,7 @@
 mod responses;
 mod send_buffer;
 mod session;
+mod session_id;
 mod tasks;
 
 use crate::core::CoreHandle;
@@ -64,7 +65,6 @@
 
 /// Accepts sessions until dropped. Sessions run on tasks of their own, and continue after that.
 pub async fn serve(listener: TcpListener, front: Rc<Front>) {
-    let mut sessions_accepted: u64 = 0;
     let mut failures = AcceptFailures::default();
     let mut phase = front.phase.clone();
     loop {
@@ -76,9 +76,8 @@
         };
         match accepted {
             Ok((stream, _)) if front.open_sessions.get() < front.max_sessions.get() => {
-                sessions_accepted += 1;
                 failures.record_success();
-                start_session(&front, stream, sessions_accepted);
+                start_session(&front, stream);
             }
             Ok(_) => {
                 tracing::warn!(open = front.open_sessions.get(), "session rejected, too many are open");
@@ -89,23 +88,23 @@
 }
 
 /// Serves a session on a task of its own.
-fn start_session(front: &Rc<Front>, stream: TcpStream, number: u64) {
+fn start_session(front: &Rc<Front>, stream: TcpStream) {
     let front = Rc::clone(front);
     front.open_sessions.set(front.open_sessions.get() + 1);
     actix_rt::spawn(async move {
-        if let Err(error) = serve_session(&front, stream, number).await {
+        if let Err(error) = serve_session(&front, stream).await {
             tracing::debug!(%error, "session broken");
         }
         front.open_sessions.set(front.open_sessions.get() - 1);
     });
 }
 
-async fn serve_session(front: &Front, stream: TcpStream, number: u64) -> io::Result<()> {
+async fn serve_session(front: &Front, stream: TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let client = stream.peer_addr().ok();
     let (read_half, mut writer) = stream.into_split();
     let mut reader = PduReader::new(read_half);
-    let ended = log_in_and_run(front, &mut reader, &mut writer, client, number).await;
+    let ended = log_in_and_run(front, &mut reader, &mut writer, client).await;
     // The open requests have been cancelled with the session. A reset would discard the last response,
     // whatever the client still sends.
     let _ = tokio::time::timeout(LINGER, close(writer.as_ref())).await;
@@ -117,9 +116,8 @@
     reader: &mut PduReader<OwnedReadHalf>,
     writer: &mut OwnedWriteHalf,
     client: Option<SocketAddr>,
-    number: u64,
 ) -> io::Result<()> {
     let login = login::accept(reader, writer, &front.name, COMMAND_WINDOW);
     let parameters = tokio::time::timeout(LOGIN_TIMEOUT, login).await??;
-    Session::new(front, client, number, parameters, writer).run(reader).await
+    Session::new(front, client, parameters, writer).run(reader).await
 }
--- a/src/net/iscsi/front/session.rs
+++ b/src/net/iscsi/front/session.rs
@@ -1,6 +1,7 @@
 //! One session of a client: its events, and the order in which they are handled.
 
 use super::send_buffer::SendBuffer;
+use super::session_id::SessionId;
 use super::tasks::{CompletedTask, Task, data_deadline};
 use super::{COMMAND_WINDOW, Front};
 use futures_util::StreamExt;
@@ -29,8 +30,8 @@
 /// One session of a client.
 pub(super) struct Session<'a> {
     pub(super) front: &'a Front,
+    pub(super) id: SessionId,
     pub(super) client: Option<SocketAddr>,
-    pub(super) number: u64,
     pub(super) parameters: SessionParameters,
     stat_sn: u32,
     pub(super) exp_cmd_sn: u32,
@@ -59,14 +60,15 @@
     pub(super) fn new(
         front: &'a Front,
         client: Option<SocketAddr>,
-        number: u64,
         parameters: SessionParameters,
         writer: &'a mut OwnedWriteHalf,
     ) -> Session<'a> {
+        let id = SessionId::random();
+        tracing::debug!(session = %id, initiator = ?parameters.initiator, ?client, "session opened");
         Session {
             front,
+            id,
             client,
-            number,
             exp_cmd_sn: parameters.cmd_sn,
             stat_sn: parameters.stat_sn,
             parameters,
--- a/tests/network/main.rs
+++ b/tests/network/main.rs
@@ -10,6 +10,8 @@
 mod harness;
 mod http;
 mod iscsi;
+mod iscsi_client;
+mod iscsi_request_ids;
 mod late_connections;
 mod lost_site;
 mod pending_connects;
