Draw the identifier of each session to an iSCSI-style target

What callers saw: nothing yet; found by looking for ways in which two processes give one id. By RFC 7143 a login with the name and ISID of another session ends that session at the target, with its open commands.

Cause: the ISID was a constant (crates/iscsi, login). A successor in a handover and a second initiator with the same iSCSI name logged in as the first one's session again. A write in flight there was sent once more, and these targets know no idempotency keys.

Change: each login draws an ISID of the RFC's random format.

Measured: a test with a target that reinstates sessions received 3 writes for 2 before the change and 2 after it.

--- a/crates/iscsi/src/login/mod.rs
+++ b/crates/iscsi/src/login/mod.rs
@@ -22,9 +22,8 @@
 const NO_SUCH_TARGET: u16 = 0x0203;
 const INVALID_DURING_LOGIN: u16 = 0x020b;
 
-/// The initiator's part of the session identifier: of the random format, since no session is related to
-/// another.
-const ISID: [u8; 6] = [0x80, 0, 0, 0, 0, 1];
+/// First byte of an initiator's part of a session identifier in the random format (RFC 7143, section 11.12.5).
+const RANDOM_ISID_FORMAT: u8 = 0x80;
 /// The first CmdSN and StatSN of a session.
 const FIRST_SN: u32 = 1;
 
@@ -145,7 +144,7 @@
         transit: true,
         current: OPERATIONAL,
         next: FULL_FEATURE,
-        isid: ISID,
+        isid: random_isid(),
         itt: 0,
         cmd_sn: FIRST_SN,
         data: keys::offer(initiator, target),
@@ -166,6 +165,15 @@
     }
 }
 
+/// Draws the initiator's part of the identifier of a new session. A login with the name and the identifier of another
+/// session ends that session at the target, with its open commands, so two sessions must not have the same, even if
+/// other processes with the same name opened them.
+fn random_isid() -> [u8; 6] {
+    let mut isid: [u8; 6] = rand::random();
+    isid[0] = RANDOM_ISID_FORMAT;
+    isid
+}
+
 fn unexpected_end() -> LoginError {
     LoginError::Io(io::ErrorKind::UnexpectedEof.into())
 }
--- a/tests/network/main.rs
+++ b/tests/network/main.rs
@@ -12,6 +12,7 @@
 mod iscsi;
 mod iscsi_client;
 mod iscsi_request_ids;
+mod iscsi_session_ids;
 mod late_connections;
 mod lost_site;
 mod pending_connects;
