Give the requests of each replay ids of their own

Cause: the ids were drawn from the replay's seed, which is 1 unless it is given.

Change: ids have a seed of their own, drawn from the system for each replay. Idempotency keys still come from the trace, since a deposit that is replayed is a repeat by design.

Measured: the test that collects the ids of two replays found 5 of 10 distinct before, and 10 after; the replay tests pass.

--- a/crates/replay/src/plan.rs
+++ b/crates/replay/src/plan.rs
@@ -41,8 +41,11 @@
     /// Shortest wait of a client before its retry, in microseconds; a random part of up to the same length is
     /// added. A longer wait that the response asks for takes precedence.
     pub retry_wait: Micros,
-    /// Seed of correlation ids, retry jitter and the choice of initiators.
+    /// Seed of the retry jitter and of the choice of initiators.
     pub seed: u64,
+    /// Seed of the correlation ids, drawn anew for each replay: no two requests may have the same id, even those
+    /// of different replays.
+    pub id_seed: u64,
 }
 
 /// Why a [`PlannerConfig`] is rejected.
@@ -196,7 +199,7 @@
         if config.max_in_flight == 0 {
             return Err(PlannerConfigError::MaxInFlight);
         }
-        let seed = config.seed;
+        let PlannerConfig { seed, id_seed, .. } = config;
         Ok(Planner {
             config,
             next_number: 0,
@@ -206,7 +209,7 @@
             open_requests: HashMap::new(),
             in_flight: 0,
             initiator_sets: HashMap::new(),
-            id_rng: Pcg64Mcg::seed_from_u64(seed),
+            id_rng: Pcg64Mcg::seed_from_u64(id_seed),
             jitter_rng: Pcg64Mcg::seed_from_u64(!seed),
             actions: VecDeque::new(),
             deadlines: BTreeMap::new(),
--- a/crates/replay/src/run.rs
+++ b/crates/replay/src/run.rs
@@ -40,7 +40,7 @@
     pub retries: bool,
     /// Limit of attempts in flight; over HTTP each takes a file descriptor.
     pub max_in_flight: usize,
-    /// Seed of the replay's random numbers.
+    /// Seed of the retry jitter and of the choice of initiators. Correlation ids do not depend on it.
     pub seed: u64,
     /// Time limit for all initiators to become ready. Applies to [`Front::Http`] only.
     pub ready_timeout: Duration,
@@ -102,6 +102,7 @@
         retries: options.retries,
         retry_wait: RETRY_WAIT,
         seed: options.seed,
+        id_seed: rand::random(),
     })?;
     let subject = Subject {
         trace: trace.file_name().unwrap_or_default().to_string_lossy().into_owned(),
--- a/crates/replay/tests/modules/plan.rs
+++ b/crates/replay/tests/modules/plan.rs
@@ -30,6 +30,7 @@
         retries: true,
         retry_wait: 50 * MS,
         seed: 11,
+        id_seed: 12,
     }
 }
 
--- a/tests/network/replay.rs
+++ b/tests/network/replay.rs
@@ -7,6 +7,7 @@
 };
 use rowanglade_replay::{Front, Replay, Report, replay};
 use rowanglade_test_fleet::{StubSite, TargetFault, TargetPlan};
+use std::collections::HashSet;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -104,6 +105,26 @@
     });
 }
 
+// Guards against rejected requests: each replay gave the same correlation ids, and an initiator rejects a request
+// whose id another open request has.
+#[test]
+fn two_replays_of_a_trace_share_no_correlation_id() {
+    const REQUESTS: usize = 5;
+    run_test(async {
+        let path = write_trace("ids", (0..REQUESTS as u64).map(|i| record(i, 0, None)).collect());
+        let mut ids = HashSet::new();
+        for _ in 0..2 {
+            // Takes the place of the initiator: answers `GET /up`, then the requests.
+            let initiator = scripted_server(vec![ok(""); 1 + REQUESTS]).await;
+            run_replay(&path, &Replay::to(vec![initiator.addr])).await;
+            let heads = initiator.request_heads.borrow();
+            ids.extend(heads.iter().filter_map(|head| header(head, "x-correlation-id")));
+        }
+        std::fs::remove_file(&path).expect("removed");
+        assert_eq!(ids.len(), 2 * REQUESTS, "{ids:?}");
+    });
+}
+
 // Guards against coordinated omission: the schedule does not wait for a stalled target, and the latency of
 // the requests that came due meanwhile shows the stall.
 #[test]
