Read from clients only what their requests' handlers can take

Reproduced: 2,000 clients that send 64 requests at once and read nothing take a process to 303 MB of 192; 2,000 that stop after 400 kB of a long body to 181 MB.

Cause: the HTTP library reads 128 KiB ahead and decodes every head in it, 7 KB of memory for a request of 300 bytes, before it looks at its own limit; and it reads 128 KiB of a body ahead, in one piece, while the body's handler waits.

Change: the client's stream passes on one head at a time, a body in parts of 16 KiB as its handler waits for them, and four heads behind a request; the rest is kept as bytes (32 KiB), and discarded beyond as before. Requests that are kept are answered before their connection closes. What an upload may be read ahead is granted with its part of the budget, so that a close in the middle of a body is seen.

--- a/src/net/http/clients/connection.rs
+++ b/src/net/http/clients/connection.rs
@@ -1,5 +1,6 @@
 //! The state of one client's connection, which its stream, its handler and the table share.
 
+use super::limits::BODY_READ_BYTES;
 use super::open_streams::CountedStream;
 use crate::net::close::read_closed;
 use std::cell::{Cell, RefCell};
@@ -45,6 +46,12 @@
     ended: Cell<bool>,
     /// Notified when the connection is evicted while it is closing.
     pub(super) evicted: Notify,
+    /// Whether a complete head was read that the HTTP service does not have yet.
+    unserved_requests: Cell<bool>,
+    /// Bytes of the current request's body that may be read until the handler waits for more.
+    body_window: Cell<usize>,
+    /// Bytes of the body that may be read ahead while the handler does not wait for them.
+    body_read_ahead: Cell<usize>,
     /// Wakes the task that waits to read from the stream.
     read_waker: RefCell<Option<Waker>>,
 }
@@ -63,6 +70,9 @@
             write_blocked_since: Cell::new(None),
             ended: Cell::new(false),
             evicted: Notify::new(),
+            unserved_requests: Cell::new(false),
+            body_window: Cell::new(0),
+            body_read_ahead: Cell::new(0),
             read_waker: RefCell::default(),
         }
     }
@@ -75,11 +85,55 @@
     /// Ends the connection: from now on its stream reads as closed.
     pub fn end(&self) {
         self.ended.set(true);
+        self.wake_reader();
+    }
+
+    fn wake_reader(&self) {
         if let Some(waker) = self.read_waker.take() {
             waker.wake();
         }
     }
 
+    /// Lets [`BODY_READ_BYTES`] more of the current request's body be read, because its handler waits for them.
+    pub fn request_body_bytes(&self) {
+        if self.body_window.replace(BODY_READ_BYTES) == 0 {
+            self.wake_reader();
+        }
+    }
+
+    /// Lets this many bytes of the body be read while its handler does not wait for them, so that a client's close in
+    /// the middle of its body is detected.
+    pub fn allow_body_read_ahead(&self, bytes: usize) {
+        self.body_read_ahead.set(bytes);
+        self.wake_reader();
+    }
+
+    /// Bytes of the body that may be read while its handler does not wait for them.
+    pub(super) fn body_read_ahead(&self) -> usize {
+        self.body_read_ahead.get()
+    }
+
+    /// Whether requests that were read wait until the HTTP service takes them. They are answered before the connection
+    /// closes.
+    pub fn has_unserved_requests(&self) -> bool {
+        self.unserved_requests.get()
+    }
+
+    /// Sets whether requests that were read wait until the HTTP service takes them.
+    pub(super) fn set_unserved_requests(&self, unserved: bool) {
+        self.unserved_requests.set(unserved);
+    }
+
+    /// Bytes of the body that may be read now.
+    pub(super) fn body_window(&self) -> usize {
+        self.body_window.get()
+    }
+
+    /// Records that bytes of the body have been read.
+    pub(super) fn record_body_read(&self, bytes: usize) {
+        self.body_window.set(self.body_window.get().saturating_sub(bytes));
+    }
+
     /// Reverts the end of the connection, for a request that was received just before it.
     pub(super) fn resume(&self) {
         self.ended.set(false);
@@ -88,6 +142,7 @@
     /// Records that the current request has been read completely: what arrives now is pipelined after it.
     pub fn complete_request(&self) {
         self.request_complete.set(true);
+        self.wake_reader();
     }
 
     /// Whether the request that the handler is processing has been read completely.
@@ -136,6 +191,8 @@
     /// Marks the connection as busy with a request for as long as the guard is held.
     pub fn begin_request(self: &Rc<Self>) -> ActiveRequest {
         self.request_complete.set(false);
+        self.body_window.set(0);
+        self.body_read_ahead.set(0);
         self.set_phase(Phase::Busy);
         ActiveRequest(Rc::clone(self))
     }
@@ -190,8 +247,8 @@
         }
     }
 
-    /// Registers the waker to wake when the connection is ended.
-    pub(super) fn wake_on_end(&self, waker: &Waker) {
+    /// Registers the waker to wake when the connection is ended, or may be read again.
+    pub(super) fn wake_on_change(&self, waker: &Waker) {
         *self.read_waker.borrow_mut() = Some(waker.clone());
     }
 }
@@ -203,6 +260,7 @@
 impl Drop for ActiveRequest {
     fn drop(&mut self) {
         self.0.set_phase(Phase::Idle);
+        self.0.wake_reader();
     }
 }
 
--- a/src/net/http/clients/limits.rs
+++ b/src/net/http/clients/limits.rs
@@ -28,11 +28,21 @@
 /// response may be in transit.
 pub const EVICTION_MIN_AGE: Duration = Duration::from_millis(50);
 
-/// How many bytes are kept that arrive after the request that a handler is processing; clients send one
-/// request at a time. Further bytes are discarded, and the connection closes after the responses to the
-/// requests before them.
+/// How many requests are read ahead of the one that a handler is processing. Clients send one request at a time, and
+/// the HTTP library takes several KiB for a decoded head of a few hundred bytes.
+pub const MAX_PIPELINED_HEADS: usize = 4;
+
+/// How many bytes are kept that arrive after the request that a handler is processing. Further bytes are discarded,
+/// and the connection closes after the responses to the requests before them.
 pub const MAX_PIPELINED_BYTES: usize = 32 * 1024;
 
+/// How many bytes of a body are read at a time, each time that the handler waits for more. Without this limit the
+/// HTTP library reads 128 KiB ahead.
+pub(super) const BODY_READ_BYTES: usize = 16 * 1024;
+
+/// Most bytes of one read of a head. What follows the head in them waits in this process.
+pub(super) const HEAD_READ_BYTES: usize = 8 * 1024;
+
 /// Connections beyond the table's capacity that receive a 503 at the same time. Others are closed without a
 /// response, since each occupies a descriptor.
 pub(super) const MAX_REJECTING: usize = 8;
--- a/src/net/http/clients/mod.rs
+++ b/src/net/http/clients/mod.rs
@@ -6,14 +6,16 @@
 //! then the socket is closed.
 
 mod connection;
+mod head_scanner;
 mod limits;
 mod open_streams;
 mod stream;
+mod surplus;
 mod table;
 
 pub use connection::{ActiveRequest, AwaitingResponse, ClientConnection};
 pub use limits::{
-    EVICTION_MIN_AGE, HEAD_TIMEOUT, IDLE_TIMEOUT, MAX_PIPELINED_BYTES, MAX_UNREGISTERED,
+    EVICTION_MIN_AGE, HEAD_TIMEOUT, IDLE_TIMEOUT, MAX_PIPELINED_BYTES, MAX_PIPELINED_HEADS, MAX_UNREGISTERED,
     SURPLUS_IDLE_TIMEOUT, UNCROWDED_DIVISOR, UNCROWDED_IDLE_TIMEOUT, WRITE_TIMEOUT,
 };
 pub use stream::ClientStream;
--- a/src/net/http/handler.rs
+++ b/src/net/http/handler.rs
@@ -18,6 +18,8 @@
 
 /// Most memory that the rest of a streamed body occupies in the buffers that it passes through.
 const UPLOAD_BUFFER_BYTES: usize = 192 * 1024;
+/// Most bytes of a body that are read while no target takes them.
+const BODY_READ_AHEAD_BYTES: usize = 128 * 1024;
 /// Retry-After of a request that is rejected because no memory is left for its body.
 const NO_CAPACITY_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Path at which the platform checks whether this initiator is ready.
@@ -43,16 +45,29 @@
         response.head_mut().set_connection_type(ConnectionType::Close);
     }
     if let Some(connection) = &connection {
-        if connection.closes_after_response() {
-            response.head_mut().set_connection_type(ConnectionType::Close);
-        } else if response.head().connection_type() == ConnectionType::Close {
-            connection.close_after_response();
-        }
+        mark_last_response(connection, &mut response, is_close_delimited);
     }
     let delimiting_connection = connection.filter(|_| is_close_delimited);
     response.map_body(|_, content| HttpBody::new(content, active, delimiting_connection))
 }
 
+/// Makes a response the last of its connection if it, or one before it, was to be. While further requests that were
+/// read have no response, it is not the last yet: they are answered too.
+fn mark_last_response(
+    connection: &ClientConnection,
+    response: &mut ContentResponse,
+    is_close_delimited: bool,
+) {
+    if response.head().connection_type() == ConnectionType::Close {
+        connection.close_after_response();
+    }
+    if connection.closes_after_response() {
+        let is_last = is_close_delimited || !connection.has_unserved_requests();
+        let connection_type = if is_last { ConnectionType::Close } else { ConnectionType::KeepAlive };
+        response.head_mut().set_connection_type(connection_type);
+    }
+}
+
 async fn respond_with_content(
     front: &Front,
     request: &mut Request,
@@ -85,7 +100,7 @@
     let _awaiting_response = connection.map(ClientConnection::await_response);
     tokio::select! {
         biased;
-        response = serve(front, request, connection.map(Rc::as_ref)) => response.unwrap_or_else(|error| error),
+        response = serve(front, request, connection) => response.unwrap_or_else(|error| error),
         // Dropping the request notifies the core. The client does not receive this response.
         () = client_closed => {
             tracing::debug!("client closed its connection before the response");
@@ -100,7 +115,7 @@
 async fn serve(
     front: &Front,
     http_request: &mut Request,
-    connection: Option<&ClientConnection>,
+    connection: Option<&Rc<ClientConnection>>,
 ) -> Result<ContentResponse, ContentResponse> {
     let declared_length = declared_length(http_request);
     if declared_length.is_some_and(|length| length > MAX_BODY_BYTES) {
@@ -112,13 +127,16 @@
             .map_err(|error| bad_request(&error))?;
     front.core.validate(&request).map_err(|error| bad_request(&error))?;
     let mut budget = BodyBudget::new(Rc::clone(&front.body_bytes));
-    let mut body = RequestBody::new(http_request.take_payload());
+    let mut body = RequestBody::new(http_request.take_payload(), connection.cloned());
     let (buffered, complete) = body.read_buffered(&mut budget).await?;
     request.body = buffered;
     if !complete && request.write {
         if !budget.reserve(UPLOAD_BUFFER_BYTES) {
             return Err(no_capacity());
         }
+        if let Some(connection) = connection {
+            connection.allow_body_read_ahead(BODY_READ_AHEAD_BYTES);
+        }
         request.body_rest = Some(Rc::new(Upload::new(declared_length, Box::pin(body.into_rest(budget)))));
     }
     if !request.write && !request.body.is_empty() {
--- a/src/net/http/request_body.rs
+++ b/src/net/http/request_body.rs
@@ -1,5 +1,6 @@
 //! Reads a request's body from its client, within the memory for all bodies.
 
+use super::clients::ClientConnection;
 use super::handler::no_capacity;
 use super::message::{self, MAX_BODY_BYTES};
 use crate::core::{IncompleteBody, MAX_BUFFERED_BODY, ResponseBody};
@@ -7,6 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
 use std::cell::Cell;
+use std::future::poll_fn;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -47,13 +49,18 @@
 /// A request's body, of which a part may have been read.
 pub(super) struct RequestBody {
     payload: Payload<BoxedPayloadStream>,
+    /// The connection that it arrives on, which reads more only when asked to; absent in tests of the handler alone.
+    connection: Option<Rc<ClientConnection>>,
     started_at: Instant,
     bytes_read: u64,
 }
 
 impl RequestBody {
-    pub(super) fn new(payload: Payload<BoxedPayloadStream>) -> RequestBody {
-        RequestBody { payload, started_at: Instant::now(), bytes_read: 0 }
+    pub(super) fn new(
+        payload: Payload<BoxedPayloadStream>,
+        connection: Option<Rc<ClientConnection>>,
+    ) -> RequestBody {
+        RequestBody { payload, connection, started_at: Instant::now(), bytes_read: 0 }
     }
 
     /// When the next chunk must have arrived.
@@ -67,7 +74,15 @@
     /// # Errors
     /// The response to a client that is too slow, breaks off the body, or sends more than [`MAX_BODY_BYTES`].
     async fn next(&mut self) -> Result<Option<Bytes>, HttpResponse<ResponseBody>> {
-        let chunk = tokio::time::timeout_at(self.deadline(), self.payload.next()).await;
+        let deadline = self.deadline();
+        let next = poll_fn(|cx| {
+            let chunk = self.payload.poll_next_unpin(cx);
+            if chunk.is_pending() {
+                self.connection.iter().for_each(|connection| connection.request_body_bytes());
+            }
+            chunk
+        });
+        let chunk = tokio::time::timeout_at(deadline, next).await;
         let chunk = chunk.map_err(|_| message::empty_response(StatusCode::REQUEST_TIMEOUT))?;
         let chunk = chunk.transpose().map_err(|_| message::empty_response(StatusCode::BAD_REQUEST))?;
         self.bytes_read += chunk.as_ref().map_or(0, |chunk| chunk.len() as u64);
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -5,7 +5,8 @@
 use rowanglade::net::http::ConnectionTable;
 use rowanglade::net::http::clients::{
     ActiveRequest, ClientStream, EVICTION_MIN_AGE, HEAD_TIMEOUT, IDLE_TIMEOUT, MAX_PIPELINED_BYTES,
-    MAX_UNREGISTERED, SURPLUS_IDLE_TIMEOUT, UNCROWDED_DIVISOR, UNCROWDED_IDLE_TIMEOUT, WRITE_TIMEOUT,
+    MAX_PIPELINED_HEADS, MAX_UNREGISTERED, SURPLUS_IDLE_TIMEOUT, UNCROWDED_DIVISOR, UNCROWDED_IDLE_TIMEOUT,
+    WRITE_TIMEOUT,
 };
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -396,3 +397,71 @@
         assert_eq!(idle.len(), CAPACITY - MAX_UNREGISTERED);
     });
 }
+
+// Clients that sent many requests at once, and read no response, took a process to 303 MB of 192: the HTTP library
+// decodes all heads that it can read, into many times their size.
+#[test]
+fn requests_sent_at_once_are_passed_on_a_few_at_a_time() {
+    const REQUESTS: usize = 64;
+    const HEAD: &[u8] = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+    run_test(true, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let table = ConnectionTable::new(9, 9);
+        let (mut peer, stream) = accepted(&listener).await;
+        let mut stream = table.register(stream).expect("capacity left");
+        peer.write_all(&HEAD.repeat(REQUESTS)).await.expect("written");
+        stream.tcp().readable().await.expect("the bytes arrive");
+        let mut heads_read = 0;
+        while heads_read < REQUESTS {
+            let mut buf = vec![0; 1 << 16];
+            assert_eq!(
+                stream.read(&mut buf).await.expect("read"),
+                HEAD.len(),
+                "one head without another request"
+            );
+            heads_read += 1;
+            let busy = stream.connection().begin_request();
+            stream.connection().complete_request();
+            let mut pipelined = 0;
+            while let Ok(read) = tokio::time::timeout(Duration::from_millis(1), stream.read(&mut buf)).await {
+                assert_eq!(read.expect("read"), HEAD.len());
+                pipelined += 1;
+            }
+            assert!(pipelined <= MAX_PIPELINED_HEADS, "{pipelined} requests beside the one being processed");
+            heads_read += pipelined;
+            drop(busy);
+        }
+        assert_eq!(heads_read, REQUESTS, "every request is passed on");
+        assert!(!stream.connection().closes_after_response());
+    });
+}
+
+// A client that stopped in the middle of a long body took up to 0.7 MB, of which the budget for bodies counted a third.
+#[test]
+fn a_body_is_read_only_as_its_handler_waits_for_it() {
+    const BODY_BYTES: usize = 400_000;
+    run_test(true, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let table = ConnectionTable::new(9, 9);
+        let (mut peer, stream) = accepted(&listener).await;
+        let mut stream = table.register(stream).expect("capacity left");
+        let busy = stream.connection().begin_request();
+        let sending = tokio::task::spawn_local(async move {
+            peer.write_all(&[b'x'; BODY_BYTES]).await.expect("written");
+            peer
+        });
+        let mut buf = vec![0; 1 << 20];
+        let wait = Duration::from_millis(1);
+        let unasked = tokio::time::timeout(wait, stream.read(&mut buf)).await;
+        assert!(unasked.is_err(), "the handler does not wait for the body");
+        let mut total = 0;
+        while total < BODY_BYTES {
+            stream.connection().request_body_bytes();
+            let read = stream.read(&mut buf).await.expect("read");
+            assert!((1..=32 * 1024).contains(&read), "{read} bytes at once");
+            total += read;
+        }
+        assert_eq!(total, BODY_BYTES);
+        drop((busy, sending.await.expect("sent")));
+    });
+}
--- a/tests/network/main.rs
+++ b/tests/network/main.rs
@@ -15,6 +15,7 @@
 mod iscsi_session_ids;
 mod late_connections;
 mod lost_site;
+mod memory;
 mod pending_connects;
 mod processes;
 mod queued_requests;
