Reserve for a body what it takes, and bound heads and connections by memory

Cause: the budget counted the bytes of a body where its buffer had up to twice the length, and 192 KiB for buffers that take 256; a client that is refused was read 128 KiB at a time until its connection closed, and heads may have had 128 KiB; the number of client connections followed from the descriptors alone, though each takes up to 48 KiB.

Change: the buffer of a body is allocated once and reserved whole. A head may have 32 KiB; the connection of a longer one is closed. The memory limit bounds client connections too: below 58 MB for 1,024 descriptors. The reading side of a client's stream has a file of its own.

--- a/src/config/limits.rs
+++ b/src/config/limits.rs
@@ -16,6 +16,13 @@
 /// the buffers of its connections and the endpoint list.
 const BODY_MEMORY_DIVISOR: usize = 4;
 
+/// Memory of the process without clients: the program, its libraries and the endpoint list.
+const PROCESS_MEMORY_BYTES: usize = 10 << 20;
+/// Memory of a client's connection without a body: its buffers on both sides, its task and a request.
+const CONNECTION_MEMORY_BYTES: usize = 48 << 10;
+/// The fewest client connections, however low the memory limit is.
+const MIN_CLIENT_CONNECTIONS: usize = 32;
+
 /// The memory and file descriptors that the platform lets the process use.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(default)]
@@ -41,7 +48,18 @@
 
     /// Bytes that the bodies of all requests may take up together.
     pub fn body_bytes(&self) -> usize {
-        self.memory_mb * (1 << 20) / BODY_MEMORY_DIVISOR
+        self.memory_bytes() / BODY_MEMORY_DIVISOR
+    }
+
+    /// Memory in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        self.memory_mb << 20
+    }
+
+    /// Connections of clients for which the memory suffices beside the process itself and the bodies.
+    pub fn client_connections(&self) -> usize {
+        let available = self.memory_bytes().saturating_sub(self.body_bytes() + PROCESS_MEMORY_BYTES);
+        (available / CONNECTION_MEMORY_BYTES).max(MIN_CLIENT_CONNECTIONS)
     }
 }
 
--- a/src/net/budget/mod.rs
+++ b/src/net/budget/mod.rs
@@ -54,7 +54,8 @@
     pub fn reserve_for_other_process(&self, descriptors: usize) {
         let reservations = Reservations::of(self.limits.sockets.saturating_sub(descriptors), self.parts);
         self.max_sessions.set(reservations.sessions);
-        self.clients.resize(reservations.clients, reservations.idle_clients);
+        let clients = reservations.clients.min(self.limits.client_connections());
+        self.clients.resize(clients, reservations.idle_clients);
         self.targets.resize(reservations.targets);
     }
 
--- a/src/net/http/clients/connection.rs
+++ b/src/net/http/clients/connection.rs
@@ -48,6 +48,8 @@
     pub(super) evicted: Notify,
     /// Whether a complete head was read that the HTTP service does not have yet.
     unserved_requests: Cell<bool>,
+    /// Bytes that were read and that the HTTP service does not have yet.
+    kept_bytes: Cell<usize>,
     /// Bytes of the current request's body that may be read until the handler waits for more.
     body_window: Cell<usize>,
     /// Bytes of the body that may be read ahead while the handler does not wait for them.
@@ -71,6 +73,7 @@
             ended: Cell::new(false),
             evicted: Notify::new(),
             unserved_requests: Cell::new(false),
+            kept_bytes: Cell::new(0),
             body_window: Cell::new(0),
             body_read_ahead: Cell::new(0),
             read_waker: RefCell::default(),
@@ -113,6 +116,16 @@
         self.body_read_ahead.get()
     }
 
+    /// Sets the number of bytes that were read and that the HTTP service does not have yet.
+    pub(super) fn set_kept_bytes(&self, bytes: usize) {
+        self.kept_bytes.set(bytes);
+    }
+
+    /// The number of bytes that were read and that the HTTP service does not have yet.
+    pub(super) fn kept_bytes(&self) -> usize {
+        self.kept_bytes.get()
+    }
+
     /// Whether requests that were read wait until the HTTP service takes them. They are answered before the connection
     /// closes.
     pub fn has_unserved_requests(&self) -> bool {
--- a/src/net/http/clients/limits.rs
+++ b/src/net/http/clients/limits.rs
@@ -38,7 +38,10 @@
 
 /// How many bytes of a body are read at a time, each time that the handler waits for more. Without this limit the
 /// HTTP library reads 128 KiB ahead.
-pub(super) const BODY_READ_BYTES: usize = 16 * 1024;
+pub const BODY_READ_BYTES: usize = 16 * 1024;
+
+/// Most bytes of a request's head. The connection of a client that sends a longer one is closed.
+pub const MAX_HEAD_BYTES: usize = 32 * 1024;
 
 /// Most bytes of one read of a head. What follows the head in them waits in this process.
 pub(super) const HEAD_READ_BYTES: usize = 8 * 1024;
--- a/src/net/http/clients/mod.rs
+++ b/src/net/http/clients/mod.rs
@@ -9,14 +9,15 @@
 mod head_scanner;
 mod limits;
 mod open_streams;
+mod request_reader;
 mod stream;
 mod surplus;
 mod table;
 
 pub use connection::{ActiveRequest, AwaitingResponse, ClientConnection};
 pub use limits::{
-    EVICTION_MIN_AGE, HEAD_TIMEOUT, IDLE_TIMEOUT, MAX_PIPELINED_BYTES, MAX_PIPELINED_HEADS, MAX_UNREGISTERED,
-    SURPLUS_IDLE_TIMEOUT, UNCROWDED_DIVISOR, UNCROWDED_IDLE_TIMEOUT, WRITE_TIMEOUT,
+    BODY_READ_BYTES, EVICTION_MIN_AGE, HEAD_TIMEOUT, IDLE_TIMEOUT, MAX_PIPELINED_BYTES, MAX_PIPELINED_HEADS,
+    MAX_UNREGISTERED, SURPLUS_IDLE_TIMEOUT, UNCROWDED_DIVISOR, UNCROWDED_IDLE_TIMEOUT, WRITE_TIMEOUT,
 };
 pub use stream::ClientStream;
-pub use table::ConnectionTable;
+pub use table::{ConnectionTable, ConnectionUsage};
--- a/src/net/http/clients/table.rs
+++ b/src/net/http/clients/table.rs
@@ -16,6 +16,19 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+/// What the connections of the table are at.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ConnectionUsage {
+    /// Those with a request that is being handled or answered.
+    pub busy: usize,
+    /// Those without one.
+    pub waiting: usize,
+    /// Those that are being closed.
+    pub closing: usize,
+    /// Bytes that were read and not passed on.
+    pub kept_bytes: usize,
+}
+
 /// All connections of HTTP clients. Clones share one table.
 #[derive(Clone, Debug)]
 pub struct ConnectionTable(Rc<State>);
@@ -55,6 +68,20 @@
         self.0.connections.borrow().len()
     }
 
+    /// What the connections are at, and the bytes that they hold.
+    pub fn usage(&self) -> ConnectionUsage {
+        let mut usage = ConnectionUsage::default();
+        for connection in self.0.connections.borrow().values() {
+            match connection.phase() {
+                Phase::Busy => usage.busy += 1,
+                Phase::Closing => usage.closing += 1,
+                Phase::Silent | Phase::Head | Phase::Idle => usage.waiting += 1,
+            }
+            usage.kept_bytes += connection.kept_bytes();
+        }
+        usage
+    }
+
     /// Whether a new connection may be accepted: not while [`MAX_UNREGISTERED`] that are not in the table are
     /// open.
     pub fn may_accept(&self) -> bool {
--- a/src/net/http/handler.rs
+++ b/src/net/http/handler.rs
@@ -5,7 +5,7 @@
 use super::request_body::{BodyBudget, RequestBody};
 use super::response_body::HttpBody;
 use super::server::Front;
-use crate::core::{Response, ResponseBody, Upload};
+use crate::core::{MAX_BUFFERED_BODY, Response, ResponseBody, Upload};
 use crate::net::Phase;
 use actix_http::body::{BodySize, MessageBody};
 use actix_http::header::CONTENT_LENGTH;
@@ -16,10 +16,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Most memory that the rest of a streamed body occupies in the buffers that it passes through.
-const UPLOAD_BUFFER_BYTES: usize = 192 * 1024;
 /// Most bytes of a body that are read while no target takes them.
 const BODY_READ_AHEAD_BYTES: usize = 128 * 1024;
+/// Most memory that a streamed body occupies beside its buffered part: what is read ahead, a copy of the buffered part
+/// while it is written to the target, and the buffers of the HTTP libraries on both sides.
+const UPLOAD_BUFFER_BYTES: usize = BODY_READ_AHEAD_BYTES + MAX_BUFFERED_BODY + 64 * 1024;
 /// Retry-After of a request that is rejected because no memory is left for its body.
 const NO_CAPACITY_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Path at which the platform checks whether this initiator is ready.
@@ -128,7 +129,7 @@
     front.core.validate(&request).map_err(|error| bad_request(&error))?;
     let mut budget = BodyBudget::new(Rc::clone(&front.body_bytes));
     let mut body = RequestBody::new(http_request.take_payload(), connection.cloned());
-    let (buffered, complete) = body.read_buffered(&mut budget).await?;
+    let (buffered, complete) = body.read_buffered(declared_length, &mut budget).await?;
     request.body = buffered;
     if !complete && request.write {
         if !budget.reserve(UPLOAD_BUFFER_BYTES) {
--- a/src/net/http/request_body.rs
+++ b/src/net/http/request_body.rs
@@ -1,6 +1,6 @@
 //! Reads a request's body from its client, within the memory for all bodies.
 
-use super::clients::ClientConnection;
+use super::clients::{BODY_READ_BYTES, ClientConnection};
 use super::handler::no_capacity;
 use super::message::{self, MAX_BODY_BYTES};
 use crate::core::{IncompleteBody, MAX_BUFFERED_BODY, ResponseBody};
@@ -19,6 +19,9 @@
 /// Slowest rate at which a client may send: a body may take one second more for this many bytes.
 const MIN_BYTES_PER_SECOND: u64 = 64_000;
 
+/// The longest first part of a body: it is streamed from the piece on that exceeds [`MAX_BUFFERED_BODY`].
+const MAX_FIRST_PART: usize = MAX_BUFFERED_BODY + BODY_READ_BYTES;
+
 /// The part of the memory for all bodies that one body has reserved. Dropping it releases the memory.
 pub(super) struct BodyBudget {
     /// Bytes that are still available to all bodies.
@@ -93,18 +96,24 @@
     }
 
     /// Reads the body until it is complete or longer than [`MAX_BUFFERED_BODY`]. Returns the bytes, and
-    /// whether they are all of the body.
+    /// whether they are all of the body. `declared_length` is that of its head, if any.
     ///
     /// # Errors
     /// The response to a client whose body cannot be read, or for whose body no memory is left.
     pub(super) async fn read_buffered(
         &mut self,
+        declared_length: Option<u64>,
         budget: &mut BodyBudget,
     ) -> Result<(Bytes, bool), HttpResponse<ResponseBody>> {
+        let longest = declared_length.unwrap_or(MAX_BODY_BYTES).min(MAX_FIRST_PART as u64) as usize;
         let mut body = BytesMut::new();
         while let Some(chunk) = self.next().await? {
-            if !budget.reserve(chunk.len()) {
-                return Err(no_capacity());
+            if body.capacity() == 0 {
+                // Allocated at once: a buffer that grew as it is filled would take up to twice the length of the body.
+                if !budget.reserve(longest) {
+                    return Err(no_capacity());
+                }
+                body.reserve(longest);
             }
             body.extend_from_slice(&chunk);
             if body.len() > MAX_BUFFERED_BODY {
