Log the memory by part, panics, and how the process exited

Need: the end of a process must be explainable afterwards.

Change: above three quarters of its limit, at most every 10 s, and at SIGUSR1, a process logs its memory by part: resident and anonymous, reserved for bodies, clients by what they are at, bytes kept ahead, connections to targets, open requests. A panic is an ERROR line with its place and, with RUST_BACKTRACE, its backtrace; the exit is a line too. The lab's `memory` prints the last such line of a process over its limit.

A test reads it after SIGUSR1.

--- a/crates/lab/src/memory/play.rs
+++ b/crates/lab/src/memory/play.rs
@@ -90,6 +90,8 @@
     limit_mb: usize,
     end: End,
     peak: PeakMemory,
+    /// The last line in which the process told its memory by part.
+    memory_line: Option<String>,
 }
 
 impl ProcessResult {
@@ -116,6 +118,9 @@
             megabytes(self.peak.anonymous_bytes),
             self.peak.descriptors,
         )?;
+        if let Some(line) = self.memory_line.as_ref().filter(|_| !self.holds()) {
+            write!(f, "\n      {line}")?;
+        }
         if let End::ByItself(status, log) = &self.end {
             write!(f, "; ended by itself: {status}; its log ends with\n{}", log.join("\n"))?;
         }
@@ -210,5 +215,6 @@
     address.set(None);
     // Fails if the process has ended by itself.
     let _ = daemon.signal(Signal::SIGKILL);
-    Ok(ProcessResult { name: format!("n{number}"), limit_mb: plan.memory_mb, end, peak })
+    let memory_line = daemon.log().into_iter().rfind(|line| line.contains("memory by part"));
+    Ok(ProcessResult { name: format!("n{number}"), limit_mb: plan.memory_mb, end, peak, memory_line })
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -10,7 +10,9 @@
 use crate::initiator;
 use lexopt::prelude::*;
 use rowanglade_routing::Decision;
+use std::backtrace::Backtrace;
 use std::ffi::OsString;
+use std::panic::PanicHookInfo;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -175,11 +177,15 @@
     start_log();
     // A runtime of one thread, which the HTTP libraries require.
     let reload = move || Reload::load(variable, &operator);
-    match actix_rt::System::new().block_on(initiator::serve(config, reload)) {
-        Ok(()) => Ok(()),
-        Err(error @ initiator::Error::Config(_)) => Err(Failure::usage(error)),
-        Err(error) => Err(Failure::running(error)),
+    let served = actix_rt::System::new().block_on(initiator::serve(config, reload));
+    match served {
+        Ok(()) => tracing::info!("exited"),
+        Err(ref error) => tracing::error!(%error, "exited with an error"),
     }
+    served.map_err(|error| match error {
+        initiator::Error::Config(_) => Failure::usage(error),
+        _ => Failure::running(error),
+    })
 }
 
 fn load(mut parser: lexopt::Parser) -> Result<(), Failure> {
@@ -198,6 +204,16 @@
 fn start_log() {
     let level = variable("LOG").and_then(|level| level.parse().ok()).unwrap_or(tracing::Level::INFO);
     tracing_subscriber::fmt().with_max_level(level).with_writer(std::io::stderr).with_ansi(false).init();
+    std::panic::set_hook(Box::new(log_panic));
+}
+
+/// Logs a panic with its place, so that the end of a task or of the process can be explained. The backtrace is part of
+/// the line where `RUST_BACKTRACE` asks for one.
+fn log_panic(panic: &PanicHookInfo<'_>) {
+    let message = panic.payload_as_str().unwrap_or("no message");
+    let location = panic.location().map(ToString::to_string);
+    let backtrace = Backtrace::capture();
+    tracing::error!(message, location, %backtrace, "panicked");
 }
 
 #[cfg(test)]
--- a/src/initiator.rs
+++ b/src/initiator.rs
@@ -4,6 +4,7 @@
 mod channels;
 mod error;
 mod handover;
+mod memory_watch;
 mod reload;
 mod routes;
 mod run;
@@ -17,9 +18,11 @@
 use crate::net::{DescriptorBudget, Phase, admin, http, quota_exchange};
 use channels::CoreChannels;
 use handover::{HandoverSetup, HandoverTask};
+use memory_watch::MemoryWatch;
 use routes::InitialRoutes;
 use rowanglade_discovery_polling::WatchMode;
 use sockets::Sockets;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -60,10 +63,11 @@
     };
     let initiator = Initiator::start(config).await?;
     let reloads = initiator.reloads();
-    let core = initiator.core.clone();
+    let (core, memory) = (initiator.core.clone(), initiator.memory.clone());
     actix_rt::spawn(async move {
         while status.recv().await.is_some() {
             core.send(Message::Status).await;
+            memory.log();
         }
     });
     let next_request = async move || hangup.recv().await.is_some();
@@ -81,6 +85,7 @@
     admin: Option<admin::AdminListener>,
     phase: Rc<watch::Sender<Phase>>,
     budget: DescriptorBudget,
+    memory: MemoryWatch,
     /// Absent where handover is disabled.
     handover: Option<HandoverTask>,
     classes: Vec<(String, Duration)>,
@@ -152,8 +157,11 @@
             admin_commands: channels.admin_commands.receiver,
             object_observations: channels.object_observations.receiver,
         };
+        let body_bytes = Rc::new(Cell::new(budget.limits.body_bytes()));
+        let memory = MemoryWatch { budget: budget.clone(), body_bytes, core: core.clone() };
         let initiator = Initiator {
             core,
+            memory,
             reloads: Reloads { discovery, access_log, table: routes.table, undecided: routes.undecided },
             http: sockets.http,
             iscsi: sockets.iscsi,
--- a/src/initiator/run.rs
+++ b/src/initiator/run.rs
@@ -53,9 +53,15 @@
             closing: closing_rx,
             phase: self.phase.subscribe(),
             clients: clients.clone(),
-            body_bytes: Rc::new(Cell::new(self.budget.limits.body_bytes())),
+            body_bytes: Rc::clone(&self.memory.body_bytes),
         };
-        let mut front = Box::pin(http::serve(self.http, front));
+        let (serve, watch) = (http::serve(self.http, front), self.memory.run());
+        let mut front = Box::pin(async move {
+            tokio::select! {
+                served = serve => served,
+                never = watch => match never {},
+            }
+        });
         match self.handover {
             Some(handover) => handover.spawn(),
             None => drop(self.phase.send_replace(Phase::Serving)),
--- a/tests/network/memory.rs
+++ b/tests/network/memory.rs
@@ -2,7 +2,7 @@
 
 use crate::harness::{request, run_test, send_request};
 use crate::processes::{start_daemon, start_stub_site};
-use rowanglade_test_fleet::{Daemon, TargetPlan};
+use rowanglade_test_fleet::{Daemon, Signal, StubSite, TargetPlan};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -16,14 +16,14 @@
 const HOLD: Duration = Duration::from_millis(500);
 
 /// Starts a process, and waits until it serves.
-async fn start_serving_daemon(site: &rowanglade_test_fleet::StubSite) -> Daemon {
+async fn start_serving_daemon(site: &StubSite) -> Daemon {
     let daemon = start_daemon(site, |plan| (plan.memory_mb, plan.sockets) = (MEMORY_MB, SOCKETS));
     while send_request(daemon.http, &request("view", "up", 0, "")).await.starts_with("503") {}
     daemon
 }
 
-/// Opens connections that each send this text, keeps them open, and returns the process's peak memory in MB.
-async fn peak_memory_beside(text: impl Fn(usize) -> String) -> u64 {
+/// Opens connections that each send this text and keeps them open. Asserts that the process stays within its limit.
+async fn assert_memory_holds_beside(text: impl Fn(usize) -> String) {
     let site = start_stub_site(&[TargetPlan::default()]).await;
     let mut daemon = start_serving_daemon(&site).await;
     let mut clients = Vec::new();
@@ -39,7 +39,8 @@
     let answer = send_request(daemon.http, &request("view", "usual", 0, "")).await;
     assert!(answer.starts_with("200") || answer.starts_with("503"), "{answer}");
     assert_eq!(daemon.exit_status(), None, "{:?}", daemon.log());
-    daemon.usage().peak_memory_bytes >> 20
+    let peak = daemon.usage().peak_memory_bytes >> 20;
+    assert!(peak <= MEMORY_MB as u64, "{peak} MB of {MEMORY_MB}; {:#?}", daemon.log());
 }
 
 // Guards against exceeding the memory limit, at which the platform kills the process: the heads of requests that
@@ -51,8 +52,7 @@
         let flood = |client: usize| -> String {
             (0..REQUESTS).map(|number| request("view", &format!("f{client}-{number}"), 0, "")).collect()
         };
-        let peak = peak_memory_beside(flood).await;
-        assert!(peak <= MEMORY_MB as u64, "{peak} MB of {MEMORY_MB}");
+        assert_memory_holds_beside(flood).await;
     });
 }
 
@@ -66,7 +66,31 @@
             let head = text.replace("Length: 1\r\n\r\nx", "Length: 32000000\r\n\r\n");
             head + &"x".repeat(SENT_BYTES)
         };
-        let peak = peak_memory_beside(upload).await;
-        assert!(peak <= MEMORY_MB as u64, "{peak} MB of {MEMORY_MB}");
+        assert_memory_holds_beside(upload).await;
+    });
+}
+
+// Guards against an end that nobody can explain: the platform kills a process over its memory limit without a word,
+// and the log told nothing of its memory.
+#[test]
+fn the_status_tells_the_memory_by_part() {
+    run_test(async {
+        let site = start_stub_site(&[TargetPlan::default()]).await;
+        let daemon = start_serving_daemon(&site).await;
+        let mut client = TcpStream::connect(daemon.http).await.expect("connected");
+        let upload = request("deposit", "u1", 0, "x").replace("Length: 1\r\n\r\nx", "Length: 9000\r\n\r\nx");
+        client.write_all(upload.as_bytes()).await.expect("written");
+        let line = loop {
+            daemon.signal(Signal::SIGUSR1).expect("the process runs");
+            tokio::time::sleep(Duration::from_millis(5)).await;
+            let log = daemon.log();
+            let found =
+                log.iter().find(|line| line.contains("memory by part") && line.contains(" bodies=9000 "));
+            if let Some(line) = found {
+                break line.clone();
+            }
+        };
+        let limit = MEMORY_MB << 20;
+        assert!(line.contains(&format!(" limit={limit} ")) && line.contains(" clients_busy=1 "), "{line}");
     });
 }
