Do not decode the requests behind a body with it

Cause: a body was read 16 KiB at a time whatever its length, and the HTTP library decoded the requests that follow a short one, up to 50 heads of 7 KB on each connection.

Change: of a body with a declared length no byte beyond it is passed on; of one without, 4 KiB at a time. A test for the limit of a head.

--- a/src/net/http/clients/connection.rs
+++ b/src/net/http/clients/connection.rs
@@ -1,6 +1,5 @@
 //! The state of one client's connection, which its stream, its handler and the table share.
 
-use super::limits::BODY_READ_BYTES;
 use super::open_streams::CountedStream;
 use crate::net::close::read_closed;
 use std::cell::{Cell, RefCell};
@@ -97,9 +96,9 @@
         }
     }
 
-    /// Lets [`BODY_READ_BYTES`] more of the current request's body be read, because its handler waits for them.
-    pub fn request_body_bytes(&self) {
-        if self.body_window.replace(BODY_READ_BYTES) == 0 {
+    /// Lets this many bytes more of the current request's body be read, because its handler waits for them.
+    pub fn request_body_bytes(&self, bytes: usize) {
+        if self.body_window.replace(bytes) == 0 {
             self.wake_reader();
         }
     }
--- a/src/net/http/handler.rs
+++ b/src/net/http/handler.rs
@@ -128,8 +128,8 @@
             .map_err(|error| bad_request(&error))?;
     front.core.validate(&request).map_err(|error| bad_request(&error))?;
     let mut budget = BodyBudget::new(Rc::clone(&front.body_bytes));
-    let mut body = RequestBody::new(http_request.take_payload(), connection.cloned());
-    let (buffered, complete) = body.read_buffered(declared_length, &mut budget).await?;
+    let mut body = RequestBody::new(http_request.take_payload(), connection.cloned(), declared_length);
+    let (buffered, complete) = body.read_buffered(&mut budget).await?;
     request.body = buffered;
     if !complete && request.write {
         if !budget.reserve(UPLOAD_BUFFER_BYTES) {
--- a/src/net/http/request_body.rs
+++ b/src/net/http/request_body.rs
@@ -19,6 +19,9 @@
 /// Slowest rate at which a client may send: a body may take one second more for this many bytes.
 const MIN_BYTES_PER_SECOND: u64 = 64_000;
 
+/// How many bytes of a body are read at a time that declares no length: its end is not known beforehand.
+const CHUNKED_READ_BYTES: usize = 4 * 1024;
+
 /// The longest first part of a body: it is streamed from the piece on that exceeds [`MAX_BUFFERED_BODY`].
 const MAX_FIRST_PART: usize = MAX_BUFFERED_BODY + BODY_READ_BYTES;
 
@@ -54,6 +57,8 @@
     payload: Payload<BoxedPayloadStream>,
     /// The connection that it arrives on, which reads more only when asked to; absent in tests of the handler alone.
     connection: Option<Rc<ClientConnection>>,
+    /// The length that the request's head declares, if any.
+    declared_length: Option<u64>,
     started_at: Instant,
     bytes_read: u64,
 }
@@ -62,8 +67,18 @@
     pub(super) fn new(
         payload: Payload<BoxedPayloadStream>,
         connection: Option<Rc<ClientConnection>>,
+        declared_length: Option<u64>,
     ) -> RequestBody {
-        RequestBody { payload, connection, started_at: Instant::now(), bytes_read: 0 }
+        RequestBody { payload, connection, declared_length, started_at: Instant::now(), bytes_read: 0 }
+    }
+
+    /// How many bytes the connection may read for the next chunk. What follows the body are further requests, which
+    /// must not be decoded with it.
+    fn read_bytes(&self) -> usize {
+        match self.declared_length {
+            Some(length) => length.saturating_sub(self.bytes_read).min(BODY_READ_BYTES as u64) as usize,
+            None => CHUNKED_READ_BYTES,
+        }
     }
 
     /// When the next chunk must have arrived.
@@ -77,11 +92,11 @@
     /// # Errors
     /// The response to a client that is too slow, breaks off the body, or sends more than [`MAX_BODY_BYTES`].
     async fn next(&mut self) -> Result<Option<Bytes>, HttpResponse<ResponseBody>> {
-        let deadline = self.deadline();
+        let (deadline, bytes) = (self.deadline(), self.read_bytes());
         let next = poll_fn(|cx| {
             let chunk = self.payload.poll_next_unpin(cx);
             if chunk.is_pending() {
-                self.connection.iter().for_each(|connection| connection.request_body_bytes());
+                self.connection.iter().for_each(|connection| connection.request_body_bytes(bytes));
             }
             chunk
         });
@@ -96,16 +111,15 @@
     }
 
     /// Reads the body until it is complete or longer than [`MAX_BUFFERED_BODY`]. Returns the bytes, and
-    /// whether they are all of the body. `declared_length` is that of its head, if any.
+    /// whether they are all of the body.
     ///
     /// # Errors
     /// The response to a client whose body cannot be read, or for whose body no memory is left.
     pub(super) async fn read_buffered(
         &mut self,
-        declared_length: Option<u64>,
         budget: &mut BodyBudget,
     ) -> Result<(Bytes, bool), HttpResponse<ResponseBody>> {
-        let longest = declared_length.unwrap_or(MAX_BODY_BYTES).min(MAX_FIRST_PART as u64) as usize;
+        let longest = self.declared_length.unwrap_or(MAX_BODY_BYTES).min(MAX_FIRST_PART as u64) as usize;
         let mut body = BytesMut::new();
         while let Some(chunk) = self.next().await? {
             if body.capacity() == 0 {
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -4,9 +4,9 @@
 use rowanglade::net::close::LINGER;
 use rowanglade::net::http::ConnectionTable;
 use rowanglade::net::http::clients::{
-    ActiveRequest, ClientStream, EVICTION_MIN_AGE, HEAD_TIMEOUT, IDLE_TIMEOUT, MAX_PIPELINED_BYTES,
-    MAX_PIPELINED_HEADS, MAX_UNREGISTERED, SURPLUS_IDLE_TIMEOUT, UNCROWDED_DIVISOR, UNCROWDED_IDLE_TIMEOUT,
-    WRITE_TIMEOUT,
+    ActiveRequest, BODY_READ_BYTES, ClientStream, EVICTION_MIN_AGE, HEAD_TIMEOUT, IDLE_TIMEOUT,
+    MAX_HEAD_BYTES, MAX_PIPELINED_BYTES, MAX_PIPELINED_HEADS, MAX_UNREGISTERED, SURPLUS_IDLE_TIMEOUT,
+    UNCROWDED_DIVISOR, UNCROWDED_IDLE_TIMEOUT, WRITE_TIMEOUT,
 };
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -456,12 +456,34 @@
         assert!(unasked.is_err(), "the handler does not wait for the body");
         let mut total = 0;
         while total < BODY_BYTES {
-            stream.connection().request_body_bytes();
+            stream.connection().request_body_bytes(BODY_READ_BYTES);
             let read = stream.read(&mut buf).await.expect("read");
-            assert!((1..=32 * 1024).contains(&read), "{read} bytes at once");
+            assert!((1..=BODY_READ_BYTES).contains(&read), "{read} bytes at once");
             total += read;
         }
         assert_eq!(total, BODY_BYTES);
         drop((busy, sending.await.expect("sent")));
     });
 }
+
+// A head without an end was buffered up to 128 KiB, on as many connections as clients may have.
+#[test]
+fn connection_of_a_client_whose_head_is_too_long_reads_as_closed() {
+    run_test(false, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let table = ConnectionTable::new(9, 9);
+        let (mut peer, stream) = accepted(&listener).await;
+        let mut stream = table.register(stream).expect("capacity left");
+        let sending = tokio::task::spawn_local(async move {
+            let head = format!("GET / HTTP/1.1\r\nX-Long: {}", "x".repeat(4 * MAX_HEAD_BYTES));
+            let _ = peer.write_all(head.as_bytes()).await;
+            peer
+        });
+        let (mut total, mut buf) = (0, vec![0; 1 << 16]);
+        while let read @ 1.. = stream.read(&mut buf).await.expect("read") {
+            total += read;
+        }
+        assert!((MAX_HEAD_BYTES..2 * MAX_HEAD_BYTES).contains(&total), "{total} bytes");
+        drop((stream, sending));
+    });
+}
--- a/tests/network/memory.rs
+++ b/tests/network/memory.rs
@@ -56,6 +56,20 @@
     });
 }
 
+// Guards against exceeding the memory limit: the requests that follow a short body were decoded with it.
+#[test]
+fn floods_of_requests_behind_a_body_stay_within_the_memory_limit() {
+    const REQUESTS: usize = 100;
+    run_test(async {
+        let flood = |client: usize| -> String {
+            let first = request("deposit", &format!("b{client}"), 0, "body");
+            let more = (0..REQUESTS).map(|number| request("view", &format!("f{client}-{number}"), 0, ""));
+            first + &more.collect::<String>()
+        };
+        assert_memory_holds_beside(flood).await;
+    });
+}
+
 // Guards against exceeding the memory limit: what a body takes that stops before its end was counted at a part.
 #[test]
 fn bodies_that_stop_before_their_end_stay_within_the_memory_limit() {
