Simplify the memory soak's target, and share the tests' registration of a client

Cause: the target of the lab's `memory` lowered a head's case and restored its method to find two facts, and wrote bodies by hand; a list stood outside of its type's file; five tests of clients' connections repeated the same two lines.

Change: the target reads a head line by line and copies bodies with the runtime's own functions; `Behaviour::ALL` stands with its type; tests use `registered`.

--- a/crates/lab/src/memory/clients.rs
+++ b/crates/lab/src/memory/clients.rs
@@ -49,6 +49,21 @@
     NewConnections,
 }
 
+impl Behaviour {
+    /// All behaviours that a seed draws from.
+    pub const ALL: [Behaviour; 9] = [
+        Behaviour::Idle,
+        Behaviour::HalfHead,
+        Behaviour::LongHead,
+        Behaviour::StoppedUpload,
+        Behaviour::SlowUpload,
+        Behaviour::SlowReader,
+        Behaviour::StoppedReader,
+        Behaviour::Flood,
+        Behaviour::NewConnections,
+    ];
+}
+
 /// An address to which clients connect; it changes when the process is restarted. `None`: no process serves.
 pub type Address = Rc<Cell<Option<SocketAddr>>>;
 
--- a/crates/lab/src/memory/mod.rs
+++ b/crates/lab/src/memory/mod.rs
@@ -88,18 +88,3 @@
     );
     results.iter().for_each(|result| eprintln!("    {result}"));
 }
-
-impl Behaviour {
-    /// All behaviours that a seed draws from.
-    const ALL: [Behaviour; 9] = [
-        Behaviour::Idle,
-        Behaviour::HalfHead,
-        Behaviour::LongHead,
-        Behaviour::StoppedUpload,
-        Behaviour::SlowUpload,
-        Behaviour::SlowReader,
-        Behaviour::StoppedReader,
-        Behaviour::Flood,
-        Behaviour::NewConnections,
-    ];
-}
--- a/crates/lab/src/memory/target.rs
+++ b/crates/lab/src/memory/target.rs
@@ -1,15 +1,17 @@
-//! A target for long bodies: reads and discards what it receives, and answers reads of odd shards at length.
+//! A target for long bodies: reads and discards what it receives, and may answer reads at length. The stub targets of
+//! `rowanglade_test_fleet` hold whole bodies in memory.
 
-use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 
 /// Length of a long response.
 const LONG_RESPONSE_BYTES: usize = 32 << 20;
-/// Bytes of one write of a long response.
+/// Length of every other response.
+const SHORT_RESPONSE_BYTES: usize = 100;
+/// Bytes of one read.
 const PIECE_BYTES: usize = 64 << 10;
 /// How long a request takes.
 const SERVICE_TIME: Duration = Duration::from_millis(4);
@@ -38,51 +40,55 @@
     stream.set_nodelay(true)?;
     let mut stream = BufReader::with_capacity(PIECE_BYTES, stream);
     while let Some(head) = read_head(&mut stream).await? {
-        skip_body(&mut stream, &head).await?;
-        let is_probe = head.starts_with(&format!("GET {PROBE_PATH} "));
-        let length = match head.starts_with("GET") && long_responses && !is_probe {
-            true => LONG_RESPONSE_BYTES,
-            false => 100,
-        };
+        skip(&mut stream, head.body_bytes).await?;
         tokio::time::sleep(SERVICE_TIME).await;
-        let response_head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
-        stream.write_all(response_head.as_bytes()).await?;
-        let piece = [b'.'; PIECE_BYTES];
-        let mut left = length;
-        while left > 0 {
-            let bytes = left.min(PIECE_BYTES);
-            stream.write_all(&piece[..bytes]).await?;
-            left -= bytes;
-        }
+        let is_long = long_responses && head.is_read;
+        respond(&mut stream, if is_long { LONG_RESPONSE_BYTES } else { SHORT_RESPONSE_BYTES }).await?;
     }
     Ok(())
 }
 
+/// What the target uses of a request's head.
+#[derive(Default)]
+struct Head {
+    /// Whether it is a read and not a probe.
+    is_read: bool,
+    body_bytes: u64,
+}
+
 /// Reads a request's head; `None`: the connection has ended.
-async fn read_head(stream: &mut BufReader<TcpStream>) -> io::Result<Option<String>> {
-    let head = RefCell::new(Vec::new());
-    while !head.borrow().ends_with(b"\r\n\r\n") {
-        match stream.read_u8().await {
-            Ok(byte) => head.borrow_mut().push(byte),
-            Err(error) if error.kind() == io::ErrorKind::UnexpectedEof => return Ok(None),
-            Err(error) => return Err(error),
+async fn read_head(stream: &mut BufReader<TcpStream>) -> io::Result<Option<Head>> {
+    let mut head = Head::default();
+    let mut line = String::new();
+    if stream.read_line(&mut line).await? == 0 {
+        return Ok(None);
+    }
+    head.is_read = line.starts_with("GET ") && !line.contains(PROBE_PATH);
+    loop {
+        line.clear();
+        if stream.read_line(&mut line).await? == 0 {
+            return Ok(None);
+        }
+        match line.split_once(':') {
+            Some((name, value)) if name.eq_ignore_ascii_case("content-length") => {
+                head.body_bytes = value.trim().parse().map_err(io::Error::other)?;
+            }
+            Some(_) => {}
+            None => return Ok(Some(head)),
         }
     }
-    Ok(Some(String::from_utf8_lossy(&head.into_inner()).to_ascii_lowercase().replacen("get", "GET", 1)))
 }
 
-/// Reads and discards a body with a declared length.
-async fn skip_body(stream: &mut BufReader<TcpStream>, head: &str) -> io::Result<()> {
-    let length = head.lines().find_map(|line| line.strip_prefix("content-length:"));
-    let mut left: u64 = length.and_then(|text| text.trim().parse().ok()).unwrap_or(0);
-    let mut scratch = vec![0; PIECE_BYTES];
-    while left > 0 {
-        let bytes = scratch.len().min(left as usize);
-        let read = stream.read(&mut scratch[..bytes]).await?;
-        if read == 0 {
-            return Err(io::ErrorKind::UnexpectedEof.into());
-        }
-        left -= read as u64;
-    }
+/// Reads and discards this many bytes.
+async fn skip(stream: &mut BufReader<TcpStream>, bytes: u64) -> io::Result<()> {
+    let skipped = tokio::io::copy(&mut stream.take(bytes), &mut tokio::io::sink()).await?;
+    if skipped == bytes { Ok(()) } else { Err(io::ErrorKind::UnexpectedEof.into()) }
+}
+
+async fn respond(stream: &mut BufReader<TcpStream>, length: usize) -> io::Result<()> {
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+    stream.write_all(head.as_bytes()).await?;
+    let mut body = tokio::io::repeat(b'.').take(length as u64);
+    tokio::io::copy(&mut body, stream).await?;
     Ok(())
 }
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -25,6 +25,12 @@
     (client, listener.accept().await.expect("accepted").0)
 }
 
+/// A client's stream, and the connection that the table has for it.
+async fn registered(table: &ConnectionTable, listener: &TcpListener) -> (TcpStream, ClientStream) {
+    let (peer, stream) = accepted(listener).await;
+    (peer, table.register(stream).expect("capacity left"))
+}
+
 // Clients that sent nothing, or stayed open after one request, held all descriptors, and accept failed for
 // all others.
 #[test]
@@ -69,8 +75,7 @@
     run_test(false, async {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
         let table = ConnectionTable::new(9, 9);
-        let (mut peer, stream) = accepted(&listener).await;
-        let mut stream = table.register(stream).expect("capacity left");
+        let (mut peer, mut stream) = registered(&table, &listener).await;
         drop(stream.connection().begin_request());
         peer.write_all(b"GET").await.expect("written");
         stream.tcp().readable().await.expect("the bytes arrive");
@@ -182,8 +187,7 @@
     table: &ConnectionTable,
     listener: &TcpListener,
 ) -> (TcpStream, ClientStream, ActiveRequest) {
-    let (peer, stream) = accepted(listener).await;
-    let stream = table.register(stream).expect("capacity left");
+    let (peer, stream) = registered(table, listener).await;
     let busy = stream.connection().begin_request();
     stream.connection().complete_request();
     (peer, stream, busy)
@@ -407,8 +411,7 @@
     run_test(true, async {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
         let table = ConnectionTable::new(9, 9);
-        let (mut peer, stream) = accepted(&listener).await;
-        let mut stream = table.register(stream).expect("capacity left");
+        let (mut peer, mut stream) = registered(&table, &listener).await;
         peer.write_all(&HEAD.repeat(REQUESTS)).await.expect("written");
         stream.tcp().readable().await.expect("the bytes arrive");
         let mut heads_read = 0;
@@ -444,8 +447,7 @@
     run_test(true, async {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
         let table = ConnectionTable::new(9, 9);
-        let (mut peer, stream) = accepted(&listener).await;
-        let mut stream = table.register(stream).expect("capacity left");
+        let (mut peer, mut stream) = registered(&table, &listener).await;
         let busy = stream.connection().begin_request();
         let sending = tokio::task::spawn_local(async move {
             peer.write_all(&[b'x'; BODY_BYTES]).await.expect("written");
@@ -473,8 +475,7 @@
     run_test(false, async {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
         let table = ConnectionTable::new(9, 9);
-        let (mut peer, stream) = accepted(&listener).await;
-        let mut stream = table.register(stream).expect("capacity left");
+        let (mut peer, mut stream) = registered(&table, &listener).await;
         let sending = tokio::task::spawn_local(async move {
             let head = format!("GET / HTTP/1.1\r\nX-Long: {}", "x".repeat(4 * MAX_HEAD_BYTES));
             let _ = peer.write_all(head.as_bytes()).await;
