--- a/crates/lab/src/upgrade.rs
+++ b/crates/lab/src/upgrade.rs
@@ -8,7 +8,9 @@
 use crate::traces;
 use rowanglade_capture::{Record, TraceWriter};
 use rowanglade_replay::Replay;
-use rowanglade_test_fleet::{Daemon, DaemonPlan, HandoverPaths, Signal, StubSite, TargetPlan, settings};
+use rowanglade_test_fleet::{
+    Daemon, DaemonPlan, HandoverPaths, ProcessUsage, Signal, StubSite, TargetPlan, settings,
+};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::path::Path;
@@ -69,19 +71,6 @@
     Err(Failure::Unexpected("the daemon did not become ready"))
 }
 
-/// Number of open descriptors of a process.
-fn open_descriptors(process: u32) -> usize {
-    std::fs::read_dir(format!("/proc/{process}/fd")).map_or(0, Iterator::count)
-}
-
-/// Resident memory of a process in bytes.
-fn resident_memory(process: u32) -> u64 {
-    let text = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
-    let descriptors = text.lines().find_map(|l| l.strip_prefix("VmRSS:"));
-    descriptors.and_then(|l| l.trim().split(' ').next()).and_then(|n| n.parse::<u64>().ok()).unwrap_or(0)
-        << 10
-}
-
 fn hand_over_twice() -> Result<Outcome, Failure> {
     block_on(async {
         let folder = tempfile::tempdir()?;
@@ -118,8 +107,9 @@
             actix_rt::spawn(async move {
                 loop {
                     let all = processes.borrow().clone();
-                    let descriptors = all.iter().map(|p| open_descriptors(*p)).sum::<usize>();
-                    let bytes = all.iter().map(|p| resident_memory(*p)).sum::<u64>();
+                    let usage: Vec<_> = all.iter().map(|p| ProcessUsage::of(&p.to_string())).collect();
+                    let descriptors = usage.iter().map(|usage| usage.descriptors).sum::<usize>();
+                    let bytes = usage.iter().map(|usage| usage.memory_bytes).sum::<u64>();
                     let (most, largest) = peak.get();
                     peak.set((descriptors.max(most), bytes.max(largest)));
                     tokio::time::sleep(Duration::from_millis(5)).await;
--- a/crates/test-fleet/src/usage.rs
+++ b/crates/test-fleet/src/usage.rs
@@ -12,6 +12,10 @@
 pub struct ProcessUsage {
     /// The peak resident memory in bytes.
     pub peak_memory_bytes: u64,
+    /// The resident memory in bytes.
+    pub memory_bytes: u64,
+    /// The resident anonymous memory in bytes: without mapped files.
+    pub anonymous_memory_bytes: u64,
     /// User and system processor time in seconds.
     pub processor_seconds: f64,
     /// The number of open descriptors.
@@ -32,6 +36,8 @@
         let descriptors = std::fs::read_dir(format!("/proc/{process}/fd")).map_or(0, |all| all.count());
         ProcessUsage {
             peak_memory_bytes: status_bytes(&status, "VmHWM:"),
+            memory_bytes: status_bytes(&status, "VmRSS:"),
+            anonymous_memory_bytes: status_bytes(&status, "RssAnon:"),
             processor_seconds: (ticks(USER_TICKS) + ticks(SYSTEM_TICKS)) / TICKS_PER_SECOND,
             descriptors,
         }
@@ -52,11 +58,10 @@
 impl PeakMemory {
     /// Looks at a process. One that has ended changes nothing.
     pub fn update(&mut self, process: u32) {
-        let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
-        let descriptors = std::fs::read_dir(format!("/proc/{process}/fd")).map_or(0, Iterator::count);
-        self.resident_bytes = self.resident_bytes.max(status_bytes(&status, "VmHWM:"));
-        self.anonymous_bytes = self.anonymous_bytes.max(status_bytes(&status, "RssAnon:"));
-        self.descriptors = self.descriptors.max(descriptors);
+        let usage = ProcessUsage::of(&process.to_string());
+        self.resident_bytes = self.resident_bytes.max(usage.peak_memory_bytes);
+        self.anonymous_bytes = self.anonymous_bytes.max(usage.anonymous_memory_bytes);
+        self.descriptors = self.descriptors.max(usage.descriptors);
     }
 }
 
