Answer long requests whose target stops taking their body

Its place, memory, units and connections stayed taken.

Cause: with the first piece of the streamed part the core's deadline and watchdog end, and the attempt's own time began when the last byte was read. The front does not read while the target takes nothing, so the byte lay in the system's buffer. The client's limit ran only while the front waited for the client, so nothing ended a request whose client had stopped as well.

Change: UploadClock is the one clock of a streamed body. From the submission on it is told how many bytes have arrived, read or not (FIONREAD), and whom the transfer waits for. An attempt ends when the client's time since the arrival of the last byte has passed, or since anything moved where bytes are missing. If the last byte was not written it never ran: 503, and the units go back; otherwise 500.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -26,15 +26,15 @@
 mod site_monitor;
 mod start_times;
 mod timers;
+mod upload;
+mod upload_clock;
 mod validation;
 
 pub use access_log::AccessLog;
 pub use actor::Core;
 pub use admin::{AdminCommand, AdminRequest};
 pub use attempt::{Attempt, AttemptReporter, Connect, Probe, ProbeReporter, TargetMessage};
-pub use body::{
-    BodyStream, IncompleteBody, MAX_BUFFERED_BODY, ResponseBody, STREAMED_CHUNKS, Upload, UploadReader,
-};
+pub use body::{BodyStream, IncompleteBody, MAX_BUFFERED_BODY, ResponseBody, STREAMED_CHUNKS};
 pub use clock::{Clock, micros};
 pub use dependencies::CoreDependencies;
 pub use diagnostics::{Counters, LONG_STEP, Step};
@@ -47,4 +47,6 @@
 pub use routes::{LoadedRoutes, Routes};
 pub use site_monitor::SiteSettings;
 pub use start_times::StartTimes;
+pub use upload::{Upload, UploadReader, UploadSource};
+pub use upload_clock::{MIN_BODY_TIMEOUT, UploadClock, slowest_transfer};
 pub use validation::InvalidRequest;
--- a/src/core/request.rs
+++ b/src/core/request.rs
@@ -1,7 +1,8 @@
 //! Requests and responses in the core's representation, independent of any wire format.
 
-use crate::core::body::{ResponseBody, Upload};
+use crate::core::body::ResponseBody;
 use crate::core::endpoint::Protocol;
+use crate::core::upload::Upload;
 use crate::interface::{LoadReport, Outcome};
 use bytes::Bytes;
 use std::net::IpAddr;
--- a/src/net/http/clients/connection.rs
+++ b/src/net/http/clients/connection.rs
@@ -1,5 +1,6 @@
 //! The state of one client's connection, which its stream, its handler and the table share.
 
+use super::body_reading::BodyReading;
 use super::open_streams::CountedStream;
 use crate::net::close::read_closed;
 use std::cell::{Cell, RefCell};
@@ -49,10 +50,8 @@
     unserved_requests: Cell<bool>,
     /// Bytes that were read and that the HTTP service does not have yet.
     kept_bytes: Cell<usize>,
-    /// Bytes of the current request's body that may be read until the handler waits for more.
-    body_window: Cell<usize>,
-    /// Bytes of the body that may be read ahead while the handler does not wait for them.
-    body_read_ahead: Cell<usize>,
+    /// The reading of the current request's body.
+    pub(super) body_reading: BodyReading,
     /// Wakes the task that waits to read from the stream.
     read_waker: RefCell<Option<Waker>>,
 }
@@ -73,8 +72,7 @@
             evicted: Notify::new(),
             unserved_requests: Cell::new(false),
             kept_bytes: Cell::new(0),
-            body_window: Cell::new(0),
-            body_read_ahead: Cell::new(0),
+            body_reading: BodyReading::default(),
             read_waker: RefCell::default(),
         }
     }
@@ -98,7 +96,7 @@
 
     /// Lets this many bytes more of the current request's body be read, because its handler waits for them.
     pub fn request_body_bytes(&self, bytes: usize) {
-        if self.body_window.replace(bytes) == 0 {
+        if self.body_reading.set_window(bytes) == 0 {
             self.wake_reader();
         }
     }
@@ -106,13 +104,17 @@
     /// Lets this many bytes of the body be read while its handler does not wait for them, so that a client's close in
     /// the middle of its body is detected.
     pub fn allow_body_read_ahead(&self, bytes: usize) {
-        self.body_read_ahead.set(bytes);
+        self.body_reading.set_read_ahead(bytes);
         self.wake_reader();
     }
 
-    /// Bytes of the body that may be read while its handler does not wait for them.
-    pub(super) fn body_read_ahead(&self) -> usize {
-        self.body_read_ahead.get()
+    /// Bytes of the current request's body that have arrived on this machine: those that were passed on to the HTTP
+    /// service, those that are kept, and those that wait in the system's buffer. Requests that are pipelined after the
+    /// body count too.
+    pub fn arrived_body_bytes(&self) -> u64 {
+        // The call fails only on what is no open socket; then nothing more arrives.
+        let unread = rustix::io::ioctl_fionread(&**self.stream).unwrap_or(0);
+        self.body_reading.passed_on() + self.kept_bytes() as u64 + unread
     }
 
     /// Sets the number of bytes that were read and that the HTTP service does not have yet.
@@ -136,16 +138,6 @@
         self.unserved_requests.set(unserved);
     }
 
-    /// Bytes of the body that may be read now.
-    pub(super) fn body_window(&self) -> usize {
-        self.body_window.get()
-    }
-
-    /// Records that bytes of the body have been read.
-    pub(super) fn record_body_read(&self, bytes: usize) {
-        self.body_window.set(self.body_window.get().saturating_sub(bytes));
-    }
-
     /// Reverts the end of the connection, for a request that was received just before it.
     pub(super) fn resume(&self) {
         self.ended.set(false);
@@ -203,8 +195,7 @@
     /// Marks the connection as busy with a request for as long as the guard is held.
     pub fn begin_request(self: &Rc<Self>) -> ActiveRequest {
         self.request_complete.set(false);
-        self.body_window.set(0);
-        self.body_read_ahead.set(0);
+        self.body_reading.reset();
         self.set_phase(Phase::Busy);
         ActiveRequest(Rc::clone(self))
     }
--- a/src/net/http/clients/mod.rs
+++ b/src/net/http/clients/mod.rs
@@ -5,6 +5,7 @@
 //! yet. So writing is shut down first, what still arrives is read and discarded for a bounded time, and only
 //! then the socket is closed.
 
+mod body_reading;
 mod connection;
 mod head_scanner;
 mod limits;
--- a/src/net/http/clients/request_reader.rs
+++ b/src/net/http/clients/request_reader.rs
@@ -95,8 +95,8 @@
             return Allowance::Head;
         }
         if !self.connection.is_request_complete() {
-            return match self.connection.body_window() {
-                0 => Allowance::KeptBody(self.connection.body_read_ahead()),
+            return match self.connection.body_reading.window() {
+                0 => Allowance::KeptBody(self.connection.body_reading.read_ahead()),
                 bytes => Allowance::Body(bytes),
             };
         }
@@ -169,7 +169,7 @@
         limit: usize,
     ) -> Poll<io::Result<()>> {
         let read = ready!(self.read(cx, buf, limit))?;
-        self.connection.record_body_read(read);
+        self.connection.body_reading.record_passed_on(read);
         Poll::Ready(Ok(()))
     }
 
--- a/src/net/http/handler.rs
+++ b/src/net/http/handler.rs
@@ -5,7 +5,7 @@
 use super::request_body::{BodyBudget, RequestBody};
 use super::response_body::HttpBody;
 use super::server::Front;
-use crate::core::{MAX_BUFFERED_BODY, Response, ResponseBody, Upload};
+use crate::core::{MAX_BUFFERED_BODY, PendingResponse, Response, ResponseBody, Upload, UploadSource};
 use crate::net::Phase;
 use actix_http::body::{BodySize, MessageBody};
 use actix_http::header::CONTENT_LENGTH;
@@ -138,7 +138,13 @@
         if let Some(connection) = connection {
             connection.allow_body_read_ahead(BODY_READ_AHEAD_BYTES);
         }
-        request.body_rest = Some(Rc::new(Upload::new(declared_length, Box::pin(body.into_rest(budget)))));
+        let upload = Upload::new(UploadSource {
+            length: declared_length,
+            buffered_bytes: request.body.len() as u64,
+            chunks: Box::pin(body.into_rest(budget)),
+            arrived_bytes: arrived_bytes(connection.cloned()),
+        });
+        request.body_rest = Some(Rc::new(upload));
     }
     if !request.write && !request.body.is_empty() {
         return Err(bad_request(&"read request has a body"));
@@ -146,8 +152,31 @@
     if let (true, Some(connection)) = (complete, connection) {
         connection.complete_request();
     }
+    let upload = request.body_rest.clone();
     let pending = front.core.submit(request).await.map_err(|error| bad_request(&error))?;
-    Ok(message::encode_response(pending.response().await))
+    let response = match upload {
+        Some(upload) => response_to_upload(pending, &upload).await,
+        None => pending.response().await,
+    };
+    Ok(message::encode_response(response))
+}
+
+/// Waits for the response to a request whose body may still be arriving.
+async fn response_to_upload(pending: PendingResponse, upload: &Upload) -> Response {
+    let response = pending.response();
+    tokio::pin!(response);
+    tokio::select! {
+        biased;
+        response = &mut response => return response,
+        () = upload.follow_arrival() => {}
+    }
+    response.await
+}
+
+/// Counts the bytes of the current request's body that have arrived on the connection. Without a connection, all of
+/// them count as arrived.
+fn arrived_bytes(connection: Option<Rc<ClientConnection>>) -> Box<dyn Fn() -> u64> {
+    Box::new(move || connection.as_ref().map_or(u64::MAX, |connection| connection.arrived_body_bytes()))
 }
 
 /// The length in bytes that a request's head declares for its body, if any.
--- a/src/net/http/request_body.rs
+++ b/src/net/http/request_body.rs
@@ -3,22 +3,15 @@
 use super::clients::{BODY_READ_BYTES, ClientConnection};
 use super::handler::no_capacity;
 use super::message::{self, MAX_BODY_BYTES};
-use crate::core::{IncompleteBody, MAX_BUFFERED_BODY, ResponseBody};
+use crate::core::{IncompleteBody, MAX_BUFFERED_BODY, MIN_BODY_TIMEOUT, ResponseBody, slowest_transfer};
 use actix_http::{BoxedPayloadStream, Payload, Response as HttpResponse, StatusCode};
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
 use std::cell::Cell;
 use std::future::poll_fn;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::time::Instant;
 
-/// How long a request's body may take, whatever its length. Without a limit, an incomplete body would occupy
-/// its connection forever.
-const MIN_BODY_TIMEOUT: Duration = Duration::from_secs(2);
-/// Slowest rate at which a client may send: a body may take one second more for this many bytes.
-const MIN_BYTES_PER_SECOND: u64 = 64_000;
-
 /// How many bytes of a body are read at a time that declares no length: its end is not known beforehand.
 const CHUNKED_READ_BYTES: usize = 4 * 1024;
 
@@ -81,10 +74,9 @@
         }
     }
 
-    /// When the next chunk must have arrived.
+    /// When the next chunk must have arrived. Without a limit, an incomplete body would occupy its connection forever.
     fn deadline(&self) -> Instant {
-        let for_bytes = self.bytes_read as f64 / MIN_BYTES_PER_SECOND as f64;
-        self.started_at + MIN_BODY_TIMEOUT + Duration::from_secs_f64(for_bytes)
+        self.started_at + MIN_BODY_TIMEOUT + slowest_transfer(self.bytes_read)
     }
 
     /// Reads the next chunk; `None`: the body is complete.
--- a/src/net/http/target.rs
+++ b/src/net/http/target.rs
@@ -70,21 +70,36 @@
             // A host that was cut off from the network leaves its connections open indefinitely, and never
             // responds on them.
             transport.connections.close_idle_to(addr);
-            AttemptResult::without_response(Outcome::TimedOut)
+            AttemptResult::without_response(timeout_outcome(&request, addr))
         }
     };
     report.finish(result);
 }
 
-/// Resolves when an attempt times out: at `until`, or for a streamed body once the time that the request had
-/// left has passed since the last byte of the body.
+/// Resolves when an attempt times out: at `until`, or for a streamed body at the time that its arrival determines.
 async fn timed_out(request: &Request, until: Instant) {
     match &request.body_rest {
         None => tokio::time::sleep_until(until).await,
-        Some(upload) => tokio::time::sleep_until(upload.completed().await + request.time_left).await,
+        Some(upload) => upload.expired(request.time_left).await,
     }
 }
 
+/// The outcome of an attempt that has timed out. A target runs a request once its last byte has arrived, so an attempt
+/// whose last byte was not written never ran.
+fn timeout_outcome(request: &Request, addr: SocketAddr) -> Outcome {
+    let Some(upload) = &request.body_rest else { return Outcome::TimedOut };
+    let written = upload.completed_at().is_some();
+    tracing::debug!(
+        id = request.id,
+        %addr,
+        length = upload.length(),
+        arrived_bytes = upload.arrived_bytes(),
+        written,
+        "streamed attempt timed out"
+    );
+    if written { Outcome::TimedOut } else { Outcome::Unreachable }
+}
+
 /// The streamed rest of a request's body, on its way to the target.
 struct UploadStream<'a> {
     rest: UploadReader<'a>,
--- a/tests/network/main.rs
+++ b/tests/network/main.rs
@@ -24,6 +24,7 @@
 mod routes;
 mod scale;
 mod shutdown;
+mod stalled_uploads;
 mod startup;
 mod subset;
 mod truncated_responses;
