Do not call a long write harmless that an earlier attempt may have run

What callers saw: a write whose first attempt was answered with 500 before its body was complete was repeated; when the second target took a part of the body and rejected the request as unprocessed, the client got 503, which says that sending it again does no harm. The first target may have run it.

Cause: once a part of a streamed body was passed on, the outcome of that attempt alone determined the response.

Change: the response is a rejection only if no attempt that has ended may have run, as for requests that are not streamed.

Measured: the test a_long_request_fails_if_an_earlier_attempt_may_have_been_executed failed before ("503 close" for "500 close") and passes now, with the other tests of bodies.

--- a/src/core/actor/attempt_results.rs
+++ b/src/core/actor/attempt_results.rs
@@ -37,10 +37,11 @@
         let outcome = result.outcome;
         let now = self.clock.now();
         open.trace(number, |trace| trace.ended = Some((now, outcome)));
+        let may_have_run = open.may_have_run();
         let request = Rc::clone(&open.request);
         self.record_location(attempt.target, &request, outcome);
         let consumed = request.body_rest.as_ref().is_some_and(|upload| upload.is_consumed());
-        if let Some(response) = final_response_for(outcome, consumed, result.body) {
+        if let Some(response) = final_response_for(outcome, consumed, may_have_run, result.body) {
             self.finish_request(id, Some(response));
         }
         tracing::debug!(request = id.0, attempt = number.0, ?outcome, "attempt ended");
@@ -101,14 +102,18 @@
 }
 
 /// The response that an attempt's outcome determines for its client. `None`: the scheduler may retry. If part
-/// of a streamed body was read (`consumed`), it cannot be sent to another attempt.
-fn final_response_for(outcome: Outcome, consumed: bool, body: ResponseBody) -> Option<Response> {
+/// of a streamed body was read (`consumed`), it cannot be sent to another attempt. `may_have_run`: whether this attempt,
+/// or an earlier one, may have run.
+fn final_response_for(
+    outcome: Outcome,
+    consumed: bool,
+    may_have_run: bool,
+    body: ResponseBody,
+) -> Option<Response> {
     match outcome {
         Outcome::Served => Some(Response::Served(body)),
-        outcome if consumed && outcome.proves_not_executed() => {
-            Some(Response::Rejected { retry_after: Duration::ZERO })
-        }
-        _ if consumed => Some(Response::Failed),
+        _ if consumed && may_have_run => Some(Response::Failed),
+        _ if consumed => Some(Response::Rejected { retry_after: Duration::ZERO }),
         _ => None,
     }
 }
--- a/src/core/open_requests.rs
+++ b/src/core/open_requests.rs
@@ -93,6 +93,12 @@
         }
     }
 
+    /// Whether an attempt that has ended may have run.
+    pub(super) fn may_have_run(&self) -> bool {
+        let mut outcomes = self.traces.iter().filter_map(|trace| trace.ended);
+        outcomes.any(|(_, outcome)| !outcome.proves_not_executed())
+    }
+
     /// Whether its body is streamed: then only one attempt can send it, which may last beyond the deadline.
     pub(super) fn is_streamed(&self) -> bool {
         self.request.body_rest.is_some()
--- a/tests/network/bodies.rs
+++ b/tests/network/bodies.rs
@@ -258,6 +258,40 @@
     });
 }
 
+// Guards against calling a write harmless that may have run: the first target answered 500 before it had the rest of the
+// body, the attempt was repeated, and the 503 of the second became the response.
+#[test]
+fn a_long_request_fails_if_an_earlier_attempt_may_have_been_executed() {
+    run_test(async {
+        let (listener, line) = bind_target().await;
+        let initiator = start_initiator(&[line], None, None).await;
+        let (failed, attempt_failed) = tokio::sync::oneshot::channel::<()>();
+        let serving = actix_rt::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            read_head(&mut stream).await;
+            stream.read_exact(&mut vec![0; 60_000]).await.expect("the buffered part");
+            stream.write_all(b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n").await.expect("written");
+            let (mut stream, _) = listener.accept().await.expect("the repeated attempt");
+            read_head(&mut stream).await;
+            failed.send(()).expect("the receiver waits");
+            stream.read_exact(&mut vec![0; 200_000]).await.expect("a part of the body");
+            let unprocessed = b"HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
+            stream.write_all(unprocessed).await.expect("written");
+            let _ = stream.read_to_end(&mut Vec::new()).await;
+        });
+        let mut client = TcpStream::connect(initiator.http).await.expect("connected");
+        let head =
+            request("deposit", "e1", 0, "").replace("Idempotency", "Content-Length: 3000000\r\nIdempotency");
+        client.write_all(head.as_bytes()).await.expect("written");
+        // More than is buffered, so that an attempt begins, and no more until it has failed.
+        client.write_all(&test_bytes(66_000)).await.expect("written");
+        attempt_failed.await.expect("the attempt is repeated");
+        client.write_all(&test_bytes(600_000)).await.expect("written");
+        assert_eq!(send_request_on(&mut client, "").await, "500 close");
+        serving.await.expect("served");
+    });
+}
+
 // Guards against treating an expired deadline as overload: a target that rejected a request for its deadline
 // was counted as being at capacity, backed off from, and considered slow.
 #[test]
