Test what stalled uploads give back, and make their tests independent of the machine's sockets

Cause: the tests looked for unread bytes in the system's table of connections after every part. The suite had no check that an upload to a hanging target gives back its memory and connections.

Change: the tests fill the path to a hanging target, and send bodies of a little less than that; the table is read only once a body is written. A new test has eleven uploads, as many as the least memory takes, stall twice, and then one served.

--- a/tests/network/stalled_uploads.rs
+++ b/tests/network/stalled_uploads.rs
@@ -17,15 +17,13 @@
 const SEND_BUFFER_BYTES: usize = 4 * 1024;
 /// The longest body that the platform allows.
 const MAX_BODY_BYTES: usize = 32 << 20;
-/// A client whose writes make no progress for this long is blocked, and a front that leaves bytes unread for this long
-/// has stopped reading.
-const BLOCKED_AFTER: Duration = Duration::from_millis(100);
+/// A client whose writes make no progress for this long is blocked.
+const BLOCKED_AFTER: Duration = Duration::from_millis(200);
 /// Bytes that a client writes at a time. Between the parts the front reads what it can, so that the systems' buffers do
 /// not grow.
 const PART_BYTES: usize = 32 * 1024;
-/// Lengths of bodies, as differences to the length at which the front stops reading. How much the systems on the way hold
-/// varies a little by itself.
-const LENGTH_DIFFERENCES: [i64; 6] = [-160 * 1024, -96 * 1024, -32 * 1024, 0, 32 * 1024, 64 * 1024];
+/// By how much bodies are shorter than what the path to a hanging target takes. How much that is varies a little by itself.
+const BELOW_CAPACITY_KB: [usize; 6] = [32, 64, 96, 128, 192, 256];
 
 /// How a body's head declares its length.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -95,89 +93,70 @@
     written
 }
 
-/// The queues of a client's connection, in bytes.
-struct Queues {
-    /// What the client has written, and this machine has not acknowledged.
-    unacknowledged: u64,
-    /// What has reached this machine, and the front has not read.
-    unread: u64,
+/// Writes part after part, until nothing more is taken. Returns how many bytes were written.
+async fn write_in_parts(client: &mut TcpStream, bytes: &[u8]) -> usize {
+    let mut written = 0;
+    for part in bytes.chunks(PART_BYTES) {
+        let taken = write_until_blocked(client, part).await;
+        written += taken;
+        if taken < part.len() {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    written
 }
 
-/// Looks up both ends of the client's connection in the system's table.
-fn queues(client: &TcpStream) -> Queues {
+/// Bytes that the client has written, and that this machine has not acknowledged.
+fn unacknowledged_bytes(client: &TcpStream) -> Option<u64> {
     let table = std::fs::read_to_string("/proc/net/tcp").expect("the table of connections");
     let port = client.local_addr().expect("bound").port();
     let suffix = format!(":{port:04X}");
     // The fields of a line: its number, the local and the remote address, the state, and both queues.
-    let queue = |address: usize, queue: usize| {
-        let fields = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
-        let mut found =
-            fields.filter(|fields| fields.get(address).is_some_and(|text| text.ends_with(&suffix)));
-        let bytes = found.next()?.get(4)?.split(':').nth(queue).map(|hex| u64::from_str_radix(hex, 16));
-        bytes?.ok()
-    };
-    Queues { unacknowledged: queue(1, 0).unwrap_or(0), unread: queue(2, 1).unwrap_or(0) }
+    let mut lines = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+    let line = lines.find(|fields| fields.get(1).is_some_and(|local| local.ends_with(&suffix)))?;
+    u64::from_str_radix(line.get(4)?.split(':').next()?, 16).ok()
 }
 
-/// Waits until the condition holds. Returns false if that does not happen.
-async fn wait_until(client: &TcpStream, condition: impl Fn(&Queues) -> bool) -> bool {
+/// Waits until this machine has acknowledged all that the client has written. Returns false if that does not happen.
+async fn wait_until_arrived(client: &TcpStream) -> bool {
     let until = Instant::now() + BLOCKED_AFTER;
-    while Instant::now() < until {
-        if condition(&queues(client)) {
-            return true;
-        }
-        tokio::time::sleep(Duration::from_millis(1)).await;
-    }
-    false
-}
-
-/// Writes part after part as the front reads them, until it has stopped reading. Returns how many bytes were written.
-async fn write_until_unread(client: &mut TcpStream, bytes: &[u8]) -> usize {
-    let mut written = 0;
-    for part in bytes.chunks(PART_BYTES) {
-        written += write_until_blocked(client, part).await;
-        if !wait_until(client, |queues| queues.unacknowledged + queues.unread == 0).await {
-            break;
+    while unacknowledged_bytes(client) != Some(0) {
+        if Instant::now() > until {
+            return false;
         }
+        tokio::time::sleep(Duration::from_millis(10)).await;
     }
-    written
+    true
 }
 
-/// The status of the response, and the time until it came; `None` if none came in time.
+/// The status of the response, whether it has a `Retry-After`, and the time until it came; `None` if none came in time.
 async fn read_status(stream: &mut TcpStream, since: Instant) -> Option<(String, Duration)> {
     let response = timeout(TIME_LEFT + SLACK, read_message(stream)).await.ok()?;
     let (head, _) = response?;
-    Some((head.split(' ').nth(1).unwrap_or_default().to_string(), since.elapsed()))
+    let status = head.split(' ').nth(1).unwrap_or_default();
+    let retry_after = header(&head, "retry-after").map_or("", |_| " retry-after");
+    Some((format!("{status}{retry_after}"), since.elapsed()))
 }
 
-/// Sends a chunked body until the front has stopped reading, and then its end. Returns the number of its bytes, and the
-/// status of the response if all of the body has arrived on this machine.
-async fn send_until_unread(initiator: &RunningInitiator, id: &str) -> (usize, Option<String>) {
+/// Begins a request whose body is longer than the path to a hanging target takes, and writes until that takes nothing
+/// more. Returns how many bytes of the body were written.
+async fn fill_path(initiator: &RunningInitiator, id: &str, framing: Framing) -> (TcpStream, usize) {
     let mut client = connect(initiator).await;
-    client.write_all(write_head(id, Framing::Chunked, 0).as_bytes()).await.expect("written");
-    let part = encode_body(Framing::Chunked, PART_BYTES);
-    let end = b"0\r\n\r\n";
-    let part = &part[..part.len() - end.len()];
-    let body = part.repeat(MAX_BODY_BYTES / PART_BYTES);
-    let written = write_until_unread(&mut client, &body).await;
-    assert!(written < body.len(), "the target hangs, and nothing holds the client back");
-    let rest = body[written..].chunks(part.len()).next().expect("more is left");
-    let rest = &rest[..(part.len() - written % part.len()) % part.len()];
-    let arrived = write_until_blocked(&mut client, &[rest, end].concat()).await == rest.len() + end.len()
-        && wait_until(&client, |queues| queues.unacknowledged == 0).await;
-    let status = if arrived { Some(status_of(&mut client).await) } else { None };
-    (written, status)
+    client.write_all(write_head(id, framing, MAX_BODY_BYTES).as_bytes()).await.expect("written");
+    let written = write_in_parts(&mut client, &encode_body(framing, MAX_BODY_BYTES)).await;
+    assert!(written < MAX_BODY_BYTES, "{id}: the target hangs, and nothing holds the client back");
+    (client, written)
 }
 
-/// Sends a body with a declared length. Returns the status of the response if all of it has arrived on this machine.
-async fn send_with_length(initiator: &RunningInitiator, bytes: usize) -> Option<String> {
+/// Sends a request with a body of this length. Returns the status of the response if all of it has arrived on this
+/// machine.
+async fn send_whole(initiator: &RunningInitiator, framing: Framing, bytes: usize) -> Option<String> {
     let mut client = connect(initiator).await;
-    let head = write_head(&format!("length-{bytes}"), Framing::Length, bytes);
+    let head = write_head(&format!("{framing:?}-{bytes}"), framing, bytes);
     client.write_all(head.as_bytes()).await.expect("written");
-    let body = encode_body(Framing::Length, bytes);
-    let mut written = write_until_unread(&mut client, &body).await;
-    written += write_until_blocked(&mut client, &body[written..]).await;
-    if written < bytes || !wait_until(&client, |queues| queues.unacknowledged == 0).await {
+    let body = encode_body(framing, bytes);
+    if write_in_parts(&mut client, &body).await < body.len() || !wait_until_arrived(&client).await {
         return None;
     }
     Some(status_of(&mut client).await)
@@ -195,17 +174,31 @@
     run_test(async {
         let target = start_hanging_target().await;
         let initiator = start_initiator(std::slice::from_ref(&target.entry), None, None).await;
-        let (unread_from, status) = send_until_unread(&initiator, "chunked").await;
-        // The last byte was not written to the target, so the request never ran.
-        assert_eq!(status.as_deref(), Some("503"), "chunked");
-        let lengths =
-            LENGTH_DIFFERENCES.map(|difference| unread_from.saturating_add_signed(difference as isize));
-        let statuses = lengths.map(|bytes| send_with_length(&initiator, bytes));
-        let statuses: Vec<String> =
-            futures_util::future::join_all(statuses).await.into_iter().flatten().collect();
-        assert!(statuses.iter().all(|status| status == "503" || status == "500"), "{statuses:?}");
-        assert!(statuses.iter().any(|status| status == "503"), "none was held back: {statuses:?}");
-        assert_eq!((initiator.open_requests)(), 0, "requests are left");
+        let (_, capacity) = fill_path(&initiator, "capacity", Framing::Length).await;
+        for framing in [Framing::Length, Framing::Chunked] {
+            let bodies =
+                BELOW_CAPACITY_KB.map(|below| send_whole(&initiator, framing, capacity - below * 1024));
+            let statuses = futures_util::future::join_all(bodies).await;
+            let arrived: Vec<&String> = statuses.iter().flatten().collect();
+            assert!(
+                arrived.iter().all(|status| *status == "503" || *status == "500"),
+                "{framing:?}: {statuses:?}"
+            );
+            // The last byte of a body that the front held back was not written to the target: it never ran.
+            assert!(
+                arrived.iter().any(|status| *status == "503"),
+                "{framing:?}, none held back: {statuses:?}"
+            );
+            // A request whose client has left, because its body did not fit, ends as soon.
+            let ended = async {
+                while (initiator.open_requests)() > 0 {
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                }
+            };
+            timeout(TIME_LEFT + SLACK, ended)
+                .await
+                .unwrap_or_else(|_| panic!("{framing:?}: requests are left"));
+        }
     });
 }
 
@@ -217,18 +210,59 @@
         for framing in [Framing::Length, Framing::Chunked] {
             let target = start_hanging_target().await;
             let initiator = start_initiator(std::slice::from_ref(&target.entry), None, None).await;
-            let mut client = connect(&initiator).await;
-            client.write_all(write_head("both", framing, MAX_BODY_BYTES).as_bytes()).await.expect("written");
-            let body = encode_body(framing, MAX_BODY_BYTES);
-            let written = write_until_blocked(&mut client, &body).await;
-            assert!(written < body.len(), "{framing:?}: the target hangs, and nothing holds the client back");
-            let response = read_status(&mut client, Instant::now()).await;
-            assert_eq!(response.map(|(status, _)| status).as_deref(), Some("503"), "{framing:?}");
+            let (mut client, _) = fill_path(&initiator, "both", framing).await;
+            assert_eq!(status_of(&mut client).await, "503", "{framing:?}");
             assert_eq!((initiator.open_requests)(), 0, "{framing:?}: requests are left");
         }
     });
 }
 
+// Guards against memory and connections that stay taken by uploads to a target that hangs: a quarter of the least memory
+// holds eleven of them, and the twelfth and later ones would be refused as long as the target hangs.
+#[test]
+fn uploads_to_a_hanging_target_give_back_their_memory_and_connections() {
+    const MEMORY_MB: u64 = 16;
+    const ROUNDS: usize = 2;
+    const UPLOADS_PER_ROUND: usize = 11;
+    const RETRY_AFTER: Duration = Duration::from_millis(100);
+    run_test(async {
+        let target = start_hanging_target().await;
+        let entries = [target.entry.clone()];
+        let small =
+            |json: &mut serde_json::Value| json["limits"] = serde_json::json!({ "memory_mb": MEMORY_MB });
+        let initiator = start_initiator_with(&entries, None, None, small).await;
+        for round in 0..ROUNDS {
+            let ids: Vec<String> = (0..UPLOADS_PER_ROUND).map(|n| format!("r{round}-{n}")).collect();
+            let uploads = ids.iter().map(async |id| {
+                let (mut client, _) = fill_path(&initiator, id, Framing::Length).await;
+                status_of(&mut client).await
+            });
+            let statuses = futures_util::future::join_all(uploads).await;
+            // A request for whose body no memory is left is rejected with a Retry-After.
+            assert!(statuses.iter().all(|status| status == "503"), "round {round}: {statuses:?}");
+            assert_eq!((initiator.open_requests)(), 0, "round {round}: requests are left");
+        }
+        // The target goes on. After its failures the initiator may reject requests for some time.
+        target.resume.send_replace(true);
+        let body = encode_body(Framing::Length, 1 << 20);
+        let mut attempt = 0;
+        let served = async {
+            loop {
+                attempt += 1;
+                let mut client = connect(&initiator).await;
+                let head = write_head(&format!("after-{attempt}"), Framing::Length, body.len());
+                client.write_all(&[head.as_bytes(), &body].concat()).await.expect("written");
+                match status_of(&mut client).await.as_str() {
+                    "200" => return,
+                    "503 retry-after" => tokio::time::sleep(RETRY_AFTER).await,
+                    status => panic!("{status}"),
+                }
+            }
+        };
+        timeout(TIME_LEFT + SLACK, served).await.expect("a long request is served again");
+    });
+}
+
 // Guards against holding a slow client to the time of its target: the time of the request counts from its last byte. Here
 // the target takes what comes, or reads nothing for longer than the client waits.
 #[test]
