Wake an upload's attempt only when its expiry changes

Cause: each look at the arrival of a streamed body, 40 a second, woke the task of its attempt, although nothing expires while the transfer waits for the client.

Change: the attempt is woken if the clock's expiry has changed.

The processor time was not measured.

--- a/src/core/upload.rs
+++ b/src/core/upload.rs
@@ -42,7 +42,7 @@
     consumed: Cell<bool>,
     completed_at: Cell<Option<Instant>>,
     clock: RefCell<UploadClock>,
-    /// Notified when the clock changes.
+    /// Notified when the clock's expiry changes.
     clock_changed: Notify,
 }
 
@@ -126,9 +126,15 @@
         self.update_clock(|clock| clock.record_arrival(Instant::now(), arrived_bytes));
     }
 
+    /// Changes the clock, and wakes the attempt if that changes when it expires: while the transfer waits for the
+    /// client, most changes do not.
     fn update_clock(&self, update: impl FnOnce(&mut UploadClock)) {
-        update(&mut self.clock.borrow_mut());
-        self.clock_changed.notify_waiters();
+        let mut clock = self.clock.borrow_mut();
+        let expired_at = clock.expires_at(Duration::ZERO);
+        update(&mut clock);
+        if clock.expires_at(Duration::ZERO) != expired_at {
+            self.clock_changed.notify_waiters();
+        }
     }
 
     /// Records that a chunk was read, which the target has to take next.
