--- a/src/core/upload_clock.rs
+++ b/src/core/upload_clock.rs
@@ -44,7 +44,7 @@
 }
 
 impl UploadClock {
-    /// The clock of a body of `length` bytes, of which none has been seen to arrive.
+    /// The clock of a body of `length` bytes, before the first check of what has arrived.
     pub fn new(length: Option<u64>, now: Instant) -> UploadClock {
         UploadClock {
             length,
--- a/tests/network/stalled_uploads.rs
+++ b/tests/network/stalled_uploads.rs
@@ -22,7 +22,7 @@
 /// Bytes that a client writes at a time. Between the parts the front reads what it can, so that the systems' buffers do
 /// not grow.
 const PART_BYTES: usize = 32 * 1024;
-/// By how much bodies are shorter than what the path to a hanging target takes. How much that is varies a little by itself.
+/// By how much bodies are shorter than what the path to a hanging target takes, which differs between connections.
 const BELOW_CAPACITY_KB: [usize; 6] = [32, 64, 96, 128, 192, 256];
 
 /// How a body's head declares its length.
