Open the fault shim's counts file by openat, which every architecture has

Cause: the counts file was opened by SYS_open. Newer architectures (arm64) have no such system call, so the workspace did not build there.

Change: SYS_openat with AT_FDCWD. The shim's other direct calls (clock_gettime, nanosleep, write, close) exist on both kinds, and the symbols that it interposes (accept4, epoll_wait, fsync and others) are the C library's, not the kernel's. A search of the workspace for target_arch, SYS_ constants, page sizes and C integer types found no other place that depends on the architecture.

--- a/crates/fault-shim/src/counts_file.rs
+++ b/crates/fault-shim/src/counts_file.rs
@@ -59,7 +59,8 @@
     let flags = libc::O_WRONLY | libc::O_CREAT | libc::O_TRUNC | libc::O_CLOEXEC;
     // SAFETY: path and text outlive the calls, and the descriptor is owned by this function.
     unsafe {
-        let file = libc::syscall(libc::SYS_open, counts_path.as_ptr(), flags, 0o600);
+        // Newer architectures (arm64) have `openat` alone.
+        let file = libc::syscall(libc::SYS_openat, libc::AT_FDCWD, counts_path.as_ptr(), flags, 0o600);
         if file >= 0 {
             libc::syscall(libc::SYS_write, file, text.as_ptr(), text.len());
             libc::syscall(libc::SYS_close, file);
