Do not cut off a response that pauses behind its head

Cause: the body of a response was read with the stall timeout, half of the tightest objective, also where its length was long or unknown. Each pause beyond it was taken for a hung target.

A short one is still given up for a retry when it stalls, but only by the first attempt and where the class permits the retry (Scheduler::gives_up_stalled_response): a later attempt has the time that is left. The head of a response follows the same rule. An error's status is known with its head, so a pause in its body no longer turns "never ran" into "may have run".

Tests: slow_responses (4 tests), all four seen failing on the parent; passing now, with truncated_responses and bodies (20 tests).

--- a/crates/http-exchange/src/connection.rs
+++ b/crates/http-exchange/src/connection.rs
@@ -28,7 +28,8 @@
     stream: TcpStream,
     addr: SocketAddr,
     buffer: BytesMut,
-    stall_timeout: Duration,
+    /// Longest wait for the next bytes of a response that has begun; `None`: without limit.
+    stall_timeout: Option<Duration>,
     unused: bool,
     /// Whether the last response ended as its head declared, so that another request may be written.
     response_complete: bool,
@@ -50,7 +51,7 @@
             stream,
             addr,
             buffer: BytesMut::new(),
-            stall_timeout,
+            stall_timeout: Some(stall_timeout),
             unused: true,
             response_complete: false,
             remaining: RemainingBody::Nothing { reusable: false },
@@ -63,6 +64,11 @@
         self.addr
     }
 
+    /// Sets how long a response that has begun may make no progress, for the next exchange; `None`: without limit.
+    pub fn set_stall_timeout(&mut self, stall_timeout: Option<Duration>) {
+        self.stall_timeout = stall_timeout;
+    }
+
     /// Whether no request has been written to the connection yet.
     pub fn is_unused(&self) -> bool {
         self.unused
@@ -93,7 +99,7 @@
         let body = body.map(|body| RequestBody::<EmptyStream> { buffered: body.clone(), rest: None });
         let head = self.send(head, body, max_bytes as u64).await?;
         let mut content = BytesMut::new();
-        while let Some(chunk) = self.next_chunk(Some(self.stall_timeout)).await? {
+        while let Some(chunk) = self.next_chunk(self.stall_timeout).await? {
             content.extend_from_slice(&chunk);
         }
         Ok(CompleteResponse { status: head.status, headers: head.headers, body: content.freeze() })
@@ -222,7 +228,7 @@
                     }
                 }
                 None => {
-                    let stall_timeout = (!self.buffer.is_empty()).then_some(self.stall_timeout);
+                    let stall_timeout = self.stall_timeout.filter(|_| !self.buffer.is_empty());
                     self.read_required(stall_timeout).await?;
                 }
             }
--- a/crates/http-exchange/src/pool.rs
+++ b/crates/http-exchange/src/pool.rs
@@ -110,7 +110,8 @@
     /// # Errors
     /// The server cannot be connected to in time, or all connections that may be open are in use.
     pub async fn check_out(&self, addr: SocketAddr, connect_timeout: Duration) -> io::Result<Connection> {
-        if let Some(connection) = self.take_idle(addr) {
+        if let Some(mut connection) = self.take_idle(addr) {
+            connection.set_stall_timeout(Some(self.stall_timeout));
             return Ok(connection);
         }
         let slot = self.open_slot()?;
--- a/src/core/actor/attempts.rs
+++ b/src/core/actor/attempts.rs
@@ -55,6 +55,9 @@
         let number = AttemptNumber(open.attempts.len() as u32);
         let timeout_at = timeout.map_or(Micros::MAX, |timeout| now.saturating_add(timeout));
         let until = self.clock.instant(open.deadline.min(timeout_at));
+        // A part of a streamed body may be gone, so that no other attempt could send it.
+        let gives_up_stalled_response =
+            !open.is_streamed() && self.scheduler.gives_up_stalled_response(id, number);
         let (cancel, cancelled) = oneshot::channel();
         open.traces.push(AttemptTrace {
             target,
@@ -78,7 +81,9 @@
                 |(mailbox, permits)| {
                     let request = Rc::clone(&open.request);
                     let report = AttemptReporter::new(id, number, permits);
-                    send_attempt(&mailbox, Attempt { request, until, cancel: cancelled, report })
+                    let attempt =
+                        Attempt { request, until, gives_up_stalled_response, cancel: cancelled, report };
+                    send_attempt(&mailbox, attempt)
                 },
             );
         if !sent {
--- a/src/core/attempt.rs
+++ b/src/core/attempt.rs
@@ -19,6 +19,8 @@
     pub request: Rc<Request>,
     /// When the attempt times out.
     pub until: Instant,
+    /// Whether the attempt is given up for a retry if its response begins and then stalls.
+    pub gives_up_stalled_response: bool,
     /// Resolves, with a value or an error, when the core cancels the attempt.
     pub cancel: oneshot::Receiver<()>,
     /// Reports the attempt's progress and outcome to the core.
--- a/src/net/http/target.rs
+++ b/src/net/http/target.rs
@@ -6,7 +6,7 @@
 };
 use crate::interface::Outcome;
 use crate::net::http::message::{self, MAX_BODY_BYTES};
-use crate::net::http::response_stream::read_content;
+use crate::net::http::response_stream::{ResponsePatience, read_content};
 use bytes::Bytes;
 use rowanglade_http_exchange::{
     BodyAborted, BodyStream, Connection, ConnectionPool, EmptyStream, ExchangeError, RequestBody,
@@ -61,10 +61,14 @@
 /// Makes one attempt and reports its result. To cancel an attempt, its exchange is dropped, which closes the
 /// connection.
 async fn run_attempt(transport: TargetTransport, addr: SocketAddr, attempt: Attempt) {
-    let Attempt { request, until, cancel, report } = attempt;
+    let Attempt { request, until, gives_up_stalled_response, cancel, report } = attempt;
+    let patience = ResponsePatience {
+        until,
+        stall_timeout: gives_up_stalled_response.then_some(transport.stall_timeout),
+    };
     let result = tokio::select! {
         biased;
-        result = exchange(&transport, addr, &request, until, &report) => result,
+        result = exchange(&transport, addr, &request, patience, &report) => result,
         _ = cancel => AttemptResult::without_response(Outcome::Cancelled),
         () = timed_out(&request, until) => {
             // A host that was cut off from the network leaves its connections open indefinitely, and never
@@ -121,7 +125,7 @@
     transport: &TargetTransport,
     addr: SocketAddr,
     request: &Request,
-    until: Instant,
+    patience: ResponsePatience,
     report: &AttemptReporter,
 ) -> AttemptResult {
     let mut upload_stream = None;
@@ -143,10 +147,11 @@
             transport.connections.check_in(connection);
             return Err(Outcome::NotSent);
         }
-        let head = message::request_head(request, addr, until);
+        connection.set_stall_timeout(patience.stall_timeout);
+        let head = message::request_head(request, addr, patience.until);
         let head = connection.send(head, body, MAX_BODY_BYTES).await.map_err(outcome)?;
         report.response_started();
-        let content = read_content(transport, connection, &head).await.map_err(outcome)?;
+        let content = read_content(transport, connection, &head, patience).await.map_err(outcome)?;
         Ok(message::attempt_result(head.status, &head.headers, content))
     };
     result.await.unwrap_or_else(AttemptResult::without_response)
@@ -176,7 +181,8 @@
             .send(message::probe_head(addr), body, MAX_BUFFERED_BODY as u64)
             .await
             .map_err(outcome)?;
-        let content = read_content(&transport, connection, &head).await.map_err(outcome)?;
+        let patience = ResponsePatience { until: probe.until, stall_timeout: Some(transport.stall_timeout) };
+        let content = read_content(&transport, connection, &head, patience).await.map_err(outcome)?;
         Ok(message::attempt_result(head.status, &head.headers, content))
     };
     let result = match tokio::time::timeout_at(probe.until, exchange).await {
--- a/src/net/iscsi/target/commands.rs
+++ b/src/net/iscsi/target/commands.rs
@@ -59,7 +59,7 @@
     }
 
     async fn send_command(&mut self, attempt: Attempt, command: Command) -> io::Result<()> {
-        let Attempt { request, until, cancel, report } = attempt;
+        let Attempt { request, until, cancel, report, .. } = attempt;
         let read_length = if request.write { 0 } else { command.blocks * scsi::BLOCK_BYTES };
         let immediate_bytes = self.immediate_bytes(request.body.len());
         let itt = self.next_tag();
--- a/src/scheduler/retry.rs
+++ b/src/scheduler/retry.rs
@@ -5,7 +5,7 @@
 use super::request::{Execution, RequestState};
 use super::{RESPONSE_MARGIN_MICROS, Scheduler};
 use crate::interface::{
-    Action, DeduplicationScope, Idempotency, Micros, Outcome, RequestId, RetryBudget, TargetId,
+    Action, AttemptNumber, DeduplicationScope, Idempotency, Micros, Outcome, RequestId, RetryBudget, TargetId,
 };
 use std::collections::VecDeque;
 
@@ -95,6 +95,22 @@
         }
     }
 
+    /// Whether an attempt is given up for a retry if its response begins and then stalls. A stall does not
+    /// tell a target that hangs from one that is slow, so only the first attempt is given up, and only if the
+    /// class permits the retry: a later one has the time that is left.
+    ///
+    /// Guards against cutting off every response of a slow target.
+    pub fn gives_up_stalled_response(&self, id: RequestId, attempt: AttemptNumber) -> bool {
+        let Some(request) = self.requests.get(&id) else { return false };
+        let Some(state) = request.attempt(attempt) else { return false };
+        let may_repeat = match self.settings.classes[request.class].idempotency {
+            Idempotency::Idempotent => true,
+            Idempotency::NonIdempotent => false,
+            Idempotency::KeyedWithin { scope, .. } => self.deduplicates(scope, state.target, state.target),
+        };
+        attempt == AttemptNumber(0) && may_repeat && self.has_attempts_left(request)
+    }
+
     /// Whether `target` drops a repeat of a request that ran at `ran_at`. An unknown target is in no common
     /// zone or shard.
     fn deduplicates(&self, scope: DeduplicationScope, ran_at: TargetId, target: TargetId) -> bool {
--- a/tests/network/bodies.rs
+++ b/tests/network/bodies.rs
@@ -6,7 +6,7 @@
 
 const LONG_BODY_BYTES: usize = 3 << 20;
 
-fn test_bytes(length: usize) -> Vec<u8> {
+pub fn test_bytes(length: usize) -> Vec<u8> {
     (0..length).map(|i| (i * 31 % 251) as u8).collect()
 }
 
@@ -17,7 +17,7 @@
     (listener, line)
 }
 
-async fn read_head(stream: &mut TcpStream) -> String {
+pub async fn read_head(stream: &mut TcpStream) -> String {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         head.push(stream.read_u8().await.expect("a head"));
@@ -26,7 +26,7 @@
 }
 
 /// Encodes bytes as chunks of this size, with chunk extensions and a trailer.
-fn encode_chunked(body: &[u8], chunk_size: usize) -> Vec<u8> {
+pub fn encode_chunked(body: &[u8], chunk_size: usize) -> Vec<u8> {
     let mut encoded = Vec::new();
     for chunk in body.chunks(chunk_size) {
         encoded.extend_from_slice(format!("{:x};note=\"a b\"\r\n", chunk.len()).as_bytes());
@@ -37,7 +37,7 @@
     encoded
 }
 
-async fn read_chunked(stream: &mut TcpStream) -> Vec<u8> {
+pub async fn read_chunked(stream: &mut TcpStream) -> Vec<u8> {
     let mut body = Vec::new();
     loop {
         let mut size = Vec::new();
--- a/tests/network/main.rs
+++ b/tests/network/main.rs
@@ -24,6 +24,7 @@
 mod routes;
 mod scale;
 mod shutdown;
+mod slow_responses;
 mod stalled_uploads;
 mod startup;
 mod subset;
