Return the memory of a burst to the system

Cause: the C library's allocator keeps freed memory for later allocations. Its threshold for mapped allocations grows with each large one that is freed, so that large buffers too come from the heap that never shrinks.

Change: a crate with the two calls of the C library (allocator): large allocations are always mapped by themselves, there is one arena, and from a third of the limit on the memory watch returns free pages four times a second. With another C library the calls do nothing.

--- a/src/initiator.rs
+++ b/src/initiator.rs
@@ -20,6 +20,7 @@
 use handover::{HandoverSetup, HandoverTask};
 use memory_watch::MemoryWatch;
 use routes::InitialRoutes;
+use rowanglade_allocator::keep_little_free_memory;
 use rowanglade_discovery_polling::WatchMode;
 use sockets::Sockets;
 use std::cell::Cell;
@@ -50,6 +51,7 @@
     config: Config,
     reload: impl Fn() -> Result<Reload, ConfigError> + Send + Clone + 'static,
 ) -> Result<(), Error> {
+    keep_little_free_memory();
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     // Without a handler the signal would end the program.
--- a/src/initiator/memory_watch.rs
+++ b/src/initiator/memory_watch.rs
@@ -1,10 +1,11 @@
-//! Watches the memory of the process, and logs what holds it.
+//! Watches the memory of the process, returns what is free to the system, and logs what holds it.
 //!
 //! The platform kills a process over its memory limit without a word. A line logged before tells what took the
 //! memory.
 
 use crate::core::CoreHandle;
 use crate::net::DescriptorBudget;
+use rowanglade_allocator::release_free_memory;
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -12,7 +13,9 @@
 use tokio::time::{Instant, sleep};
 
 /// How often the memory is looked at.
-const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Share of the limit from which on free memory is returned to the system, in percent.
+const RELEASE_PERCENT: usize = 33;
 /// At least this long passes between two warnings.
 const WARNING_INTERVAL: Duration = Duration::from_secs(10);
 /// Share of the limit from which on a warning is logged, in percent.
@@ -58,15 +61,19 @@
 }
 
 impl MemoryWatch {
-    /// Logs a warning while the memory is close to its limit. Runs until dropped.
+    /// Returns free memory to the system, and logs a warning while the memory is close to its limit. Runs until dropped.
     pub async fn run(self) -> Infallible {
-        let threshold = self.budget.limits.memory_bytes() / 100 * WARNING_PERCENT;
+        let limit = self.budget.limits.memory_bytes();
         let mut warned_at: Option<Instant> = None;
         loop {
             sleep(CHECK_INTERVAL).await;
-            let Some(memory) = ResidentMemory::now().filter(|memory| memory.total >= threshold) else {
+            let Some(memory) = ResidentMemory::now() else { continue };
+            if memory.total >= limit / 100 * RELEASE_PERCENT {
+                release_free_memory();
+            }
+            if memory.total < limit / 100 * WARNING_PERCENT {
                 continue;
-            };
+            }
             if warned_at.is_none_or(|at| at.elapsed() >= WARNING_INTERVAL) {
                 warned_at = Some(Instant::now());
                 tracing::warn!("memory is close to its limit");
--- a/tests/network/memory.rs
+++ b/tests/network/memory.rs
@@ -1,17 +1,25 @@
 //! Tests of the memory of a real process beside clients that hold as much of it as they can.
 
 use crate::harness::{request, run_test, send_request};
-use crate::processes::{start_daemon, start_stub_site};
-use rowanglade_test_fleet::{Daemon, Signal, StubSite, TargetPlan};
-use std::time::Duration;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
+use crate::processes::{platform_settings, start_daemon, start_stub_site};
+use rowanglade_test_fleet::{Daemon, Endpoint, EndpointState, Signal, StubSite, TargetPlan};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 
 /// The largest limits that the platform's pages name, scaled down to a third.
 const MEMORY_MB: usize = 64;
 const SOCKETS: usize = 342;
+/// The least memory that operators give a process.
+const LEAST_MEMORY_MB: usize = 32;
 /// Clients, about as many as may connect.
 const CLIENTS: usize = 200;
+/// Length of a long response.
+const LONG_BODY_BYTES: usize = 32 << 20;
+/// How long after its clients have left a process may keep what they took: they are noticed at once, and memory is
+/// returned to the system several times a second.
+const GIVE_BACK_TIME: Duration = Duration::from_secs(3);
 /// How long the clients hold what they have.
 const HOLD: Duration = Duration::from_millis(500);
 
@@ -84,6 +92,84 @@
     });
 }
 
+/// A target that answers each request with a response that it writes for as long as it is read.
+async fn start_endless_target() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+    let addr = listener.local_addr().expect("bound");
+    actix_rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            actix_rt::spawn(async move {
+                let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {LONG_BODY_BYTES}\r\n\r\n");
+                let mut scratch = vec![b'.'; 64 << 10];
+                while stream.read(&mut scratch).await.is_ok_and(|read| read > 0) {
+                    // The initiator closes the connection when its client leaves.
+                    let _ = stream.write_all(head.as_bytes()).await;
+                    while stream.write_all(&scratch).await.is_ok() {}
+                }
+            });
+        }
+    });
+    addr
+}
+
+/// Starts a process with the least memory that operators give it and 1,024 descriptors, before a target with long
+/// responses. Returns it with the memory that it takes when it is ready.
+async fn start_daemon_before_endless_target() -> (StubSite, Daemon, u64) {
+    let site = start_stub_site(&[]).await;
+    site.discovery.upsert(Endpoint {
+        id: "s-0".into(),
+        addr: start_endless_target().await,
+        shard: 0,
+        state: EndpointState::Active,
+        started_ms: 0,
+        zone: None,
+    });
+    let daemon = start_daemon(&site, |plan| {
+        (plan.memory_mb, plan.sockets) = (LEAST_MEMORY_MB, 1_024);
+        plan.settings = platform_settings(1, 1);
+    });
+    while !send_request(daemon.http, "GET /up HTTP/1.1\r\nHost: x\r\n\r\n").await.starts_with("200") {}
+    let idle_bytes = daemon.usage().memory_bytes;
+    (site, daemon, idle_bytes)
+}
+
+/// Clients that request a long response and read nothing of it, for some time.
+async fn hold_long_responses(daemon: &Daemon, burst: usize) {
+    const READERS: usize = 550;
+    let mut readers = Vec::new();
+    for number in 0..READERS {
+        let mut reader = TcpStream::connect(daemon.http).await.expect("connected");
+        let text = request("view", &format!("r{burst}-{number}"), 0, "");
+        // The connection may be closed for lack of capacity.
+        let _ = reader.write_all(text.as_bytes()).await;
+        readers.push(reader);
+    }
+    // Until the buffers of all connections are full.
+    tokio::time::sleep(3 * HOLD).await;
+}
+
+// Guards against bursts that add up: what clients had taken stayed with the process after they had left, because the
+// allocator kept it.
+#[test]
+fn memory_is_given_back_after_each_burst_of_clients() {
+    const BURSTS: usize = 3;
+    /// What a process may keep beyond its memory before the burst, once the clients have left.
+    const KEPT_BYTES: u64 = (LEAST_MEMORY_MB as u64) << 20 >> 2;
+    run_test(async {
+        let (_site, daemon, idle_bytes) = start_daemon_before_endless_target().await;
+        for burst in 0..BURSTS {
+            hold_long_responses(&daemon, burst).await;
+            let is_given_back = || daemon.usage().memory_bytes <= idle_bytes + KEPT_BYTES;
+            let until = Instant::now() + GIVE_BACK_TIME;
+            while !is_given_back() && Instant::now() < until {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+            let kept = daemon.usage().memory_bytes >> 20;
+            assert!(is_given_back(), "burst {burst}: {kept} MB, {} before", idle_bytes >> 20);
+        }
+    });
+}
+
 // Guards against an end that nobody can explain: the platform kills a process over its memory limit without a word,
 // and the log told nothing of its memory.
 #[test]
