Let other tasks run while a client sends at full speed

Cause: behind the response to a request whose body is unread, the HTTP library discards what still comes until nothing is left, in one turn of its task. The reader gave it one head at a time out of 8 KiB, and moved the rest back byte by byte for each, so that a turn took up to 40 ms; 61 such turns pass between two looks at the sockets. Blank lines counted as complete heads: the limit on heads never applied, and the library looked through up to 128 KiB of them again with each pair.

Change: each read takes 8 of the 128 units that the runtime gives a turn. What is kept is searched in place.

--- a/src/net/http/clients/request_reader.rs
+++ b/src/net/http/clients/request_reader.rs
@@ -13,10 +13,15 @@
 use crate::net::budget::{MemoryBudget, MemoryReservation};
 use rowanglade_http_exchange::stream::poll_read;
 use std::io;
+use std::pin::pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use tokio::io::ReadBuf;
+use tokio::task::coop::consume_budget;
 
+/// What a read costs of the runtime's budget of 128 units for one turn of a task. With 16 reads a turn, the 61 turns
+/// between two looks at the sockets take some milliseconds.
+const TURN_UNITS_PER_READ: usize = 8;
 /// Bytes of one read of which nothing is passed on.
 const READ_AHEAD_BYTES: usize = 4096;
 
@@ -67,6 +72,16 @@
     LimitReached,
 }
 
+/// Pending once the task has made as many reads as it may before other tasks run. The HTTP service reads for as long as
+/// there is something to read, also while it discards what follows the last request, so that a client that sends at full
+/// speed would keep the thread.
+fn poll_turn(cx: &mut Context<'_>) -> Poll<()> {
+    for _ in 0..TURN_UNITS_PER_READ {
+        ready!(pin!(consume_budget()).poll(cx));
+    }
+    Poll::Ready(())
+}
+
 impl RequestReader {
     pub(super) fn new(connection: Rc<ClientConnection>, head_memory: &MemoryBudget) -> RequestReader {
         RequestReader {
@@ -88,6 +103,7 @@
     /// Reads what the handlers can take. Reading nothing means that the client's stream has ended. Pending: the task is
     /// woken once more has arrived, or by a change of the connection's state.
     pub(super) fn poll_read(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        ready!(poll_turn(cx));
         let read = match self.allowance() {
             Allowance::Head => self.read_head(cx, buf),
             Allowance::Body(limit) => self.read_body(cx, buf, limit),
@@ -157,28 +173,39 @@
             return Poll::Pending;
         }
         let filled_before = buf.filled().len();
-        ready!(self.read(cx, buf, HEAD_READ_BYTES))?;
-        let end = self.head_scanner.find_end(&buf.filled()[filled_before..]);
-        if let Some(end) = end {
-            self.surplus.push_front(&buf.filled()[filled_before + end..]);
-            buf.set_filled(filled_before + end);
-        }
+        let complete = if self.surplus.is_empty() {
+            ready!(self.read_up_to_head_end(cx, buf))?
+        } else {
+            self.surplus.take_head(buf, HEAD_READ_BYTES, &mut self.head_scanner)
+        };
         self.record_unserved_requests();
         let passed_on = buf.filled().len() - filled_before;
-        self.head_bytes = if end.is_some() { 0 } else { self.head_bytes + passed_on };
-        if end.is_some() {
+        self.head_bytes = if complete { 0 } else { self.head_bytes + passed_on };
+        if complete {
             self.head_reservation.resize(0);
         }
         if pipelined {
-            self.pipelined_heads += usize::from(end.is_some());
+            self.pipelined_heads += usize::from(complete);
             self.pipelined_bytes += passed_on;
         } else {
-            self.head_complete = end.is_some();
+            self.head_complete = complete;
             self.undecoded_bytes += passed_on;
         }
         Poll::Ready(Ok(()))
     }
 
+    /// Reads from the stream, while nothing is kept. Bytes behind the end of a head are kept. Returns whether a head ends.
+    fn read_up_to_head_end(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<bool>> {
+        let filled_before = buf.filled().len();
+        ready!(self.read(cx, buf, HEAD_READ_BYTES))?;
+        let end = self.head_scanner.find_end(&buf.filled()[filled_before..]);
+        if let Some(end) = end {
+            self.surplus.push(&buf.filled()[filled_before + end..]);
+            buf.set_filled(filled_before + end);
+        }
+        Poll::Ready(Ok(end.is_some()))
+    }
+
     /// Reserves memory for the next read of a long head. Returns false if none is left.
     fn reserve_head(&mut self) -> bool {
         let bytes = self.head_bytes + HEAD_READ_BYTES;
--- a/src/net/http/clients/surplus.rs
+++ b/src/net/http/clients/surplus.rs
@@ -23,22 +23,37 @@
         self.0.extend(bytes);
     }
 
-    /// Puts bytes before all others.
-    pub(super) fn push_front(&mut self, bytes: &[u8]) {
-        self.0.reserve_exact(bytes.len());
-        bytes.iter().rev().for_each(|byte| self.0.push_front(*byte));
-    }
-
     /// Moves up to `limit` bytes into the buffer. Returns their number.
     pub(super) fn take(&mut self, buf: &mut ReadBuf<'_>, limit: usize) -> usize {
         let (front, _) = self.0.as_slices();
         let bytes = limit.min(buf.remaining()).min(front.len());
         buf.put_slice(&front[..bytes]);
+        self.remove(bytes);
+        bytes
+    }
+
+    /// Moves up to `limit` bytes into the buffer, and no byte beyond the end of a request's head. Returns whether a head
+    /// ends with them.
+    pub(super) fn take_head(
+        &mut self,
+        buf: &mut ReadBuf<'_>,
+        limit: usize,
+        scanner: &mut HeadScanner,
+    ) -> bool {
+        let (front, _) = self.0.as_slices();
+        let available = &front[..limit.min(buf.remaining()).min(front.len())];
+        let end = scanner.find_end(available);
+        let bytes = end.unwrap_or(available.len());
+        buf.put_slice(&available[..bytes]);
+        self.remove(bytes);
+        end.is_some()
+    }
+
+    fn remove(&mut self, bytes: usize) {
         self.0.drain(..bytes);
         if self.0.is_empty() {
             self.0 = VecDeque::new();
         }
-        bytes
     }
 
     /// Whether a request's head ends in the bytes, which follow those that the scanner has seen.
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -8,8 +8,13 @@
     MAX_HEAD_BYTES, MAX_PIPELINED_BYTES, MAX_PIPELINED_HEADS, MAX_UNREGISTERED, SURPLUS_IDLE_TIMEOUT,
     UNCROWDED_DIVISOR, UNCROWDED_IDLE_TIMEOUT, WRITE_TIMEOUT,
 };
+use std::cell::Cell;
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 
 /// Runs a test. If time is paused, it passes only where the test advances it, or when no task can run.
@@ -489,3 +494,66 @@
         drop((stream, sending));
     });
 }
+
+// Guards against blank lines that are read without end: each pair counted as a complete head, so that the limit on heads
+// never applied, and the HTTP library looked through up to 128 KiB of them again with each pair.
+#[test]
+fn connection_of_a_client_that_sends_blank_lines_reads_as_closed() {
+    run_test(false, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let table = ConnectionTable::new(9, 9);
+        let (mut peer, mut stream) = registered(&table, &listener).await;
+        let sending = tokio::task::spawn_local(async move {
+            let _ = peer.write_all(&b"\r\n".repeat(2 * MAX_HEAD_BYTES)).await;
+            peer
+        });
+        let (mut total, mut buf) = (0, vec![0; 1 << 16]);
+        while let read @ 1.. = stream.read(&mut buf).await.expect("read") {
+            total += read;
+        }
+        assert!((MAX_HEAD_BYTES..2 * MAX_HEAD_BYTES).contains(&total), "{total} bytes");
+        drop((stream, sending));
+    });
+}
+
+// Guards against a client that keeps the thread: what it sends at full speed behind the last request was read for as long
+// as there was something to read, in one turn of its task, and other tasks did not run for seconds.
+#[test]
+fn reading_what_a_client_sends_at_full_speed_lets_other_tasks_run() {
+    /// Bytes that may be read in one turn: a multiple of what is read at a time.
+    const TURN_BYTES: usize = 128 * 1024;
+    const READ_BYTES: usize = 1 << 20;
+    run_test(true, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let table = ConnectionTable::new(9, 9);
+        let (mut peer, mut stream) = registered(&table, &listener).await;
+        peer.write_all(&b"GET / HTTP/1.1\r\nX: y\r\n\r\n".repeat(READ_BYTES / 20)).await.expect("written");
+        let turns = Rc::new(Cell::new(0));
+        let counted = Rc::clone(&turns);
+        let other = tokio::task::spawn_local(async move {
+            loop {
+                counted.set(counted.get() + 1);
+                tokio::task::yield_now().await;
+            }
+        });
+        let (mut total, mut buf) = (0, vec![0; 1 << 16]);
+        // Reads until twice there is nothing, as the HTTP service does while it discards what follows the last request.
+        poll_fn(|cx| {
+            let mut pending = 0;
+            while total < READ_BYTES && pending < 2 {
+                let mut part = ReadBuf::new(&mut buf);
+                match Pin::new(&mut stream).poll_read(cx, &mut part) {
+                    Poll::Ready(read) => {
+                        read.expect("read");
+                        (total, pending) = (total + part.filled().len(), 0);
+                    }
+                    Poll::Pending => pending += 1,
+                }
+            }
+            if total < READ_BYTES { Poll::Pending } else { Poll::Ready(()) }
+        })
+        .await;
+        other.abort();
+        assert!(turns.get() >= total / TURN_BYTES, "{} turns of another task, {total} bytes", turns.get());
+    });
+}
--- a/tests/network/main.rs
+++ b/tests/network/main.rs
@@ -6,6 +6,7 @@
 mod deployments;
 mod discovery;
 mod drain_gossip;
+mod floods;
 mod handover;
 mod harness;
 mod http;
