Bound what is kept of volumes, keys and recent arrivals

Cause: the usage of a volume took 2 KB, most of it room for ten more shards in a map's node, and was kept for 30 s. Beside it stood the names of 65,536 volumes twice, and in the quota exchange twice more. The oldest name was dropped first, however often it was used: its volume got a new number, and with it a full bucket.

Change: a volume's shards take no more than their entries. The usage of at most 8,192 volumes is kept, those that request most. At most 16,384 token buckets are kept: full ones go first, and after any other has gone a new bucket starts without units, so that the limit holds. The number of a volume on the wire is its id, so the core and the quota exchange keep no names of volumes at all. A key without requests that no attempt may still run for is dropped at once. The window of the retry budget no longer looks through all arrivals with each one.

The ids of volumes are 64 bits wide, so two tests name their numbers so.

--- a/crates/lab/src/scale/lists.rs
+++ b/crates/lab/src/scale/lists.rs
@@ -139,7 +139,7 @@
             id: RequestId(number),
             class: Some(ClassId(0)),
             plan: Some(PlanId(1)),
-            volume: VolumeId(number as u32),
+            volume: VolumeId(number),
             key: Some(KeyId(number)),
             units: 1.0,
             shard: shard(number),
--- a/src/core/actor/handover.rs
+++ b/src/core/actor/handover.rs
@@ -3,7 +3,7 @@
 use super::Core;
 use crate::core::endpoint::{Endpoint, Protocol};
 use crate::core::handover_request::{HandoverRequest, HandoverState};
-use crate::interface::{Event, TargetId};
+use crate::interface::{Event, TargetId, VolumeId};
 use std::collections::HashMap;
 
 impl Core {
@@ -49,7 +49,7 @@
     fn handover_state(&self) -> HandoverState {
         let scheduler = self.scheduler.snapshot(self.clock.now()).map_names(
             |target| self.names.target_name(target).map(str::to_string),
-            |volume| self.names.volume_name(volume).map(str::to_string),
+            |volume| Some(format!("{:016x}", volume.0)),
         );
         HandoverState {
             maintenance: self.endpoints.maintenance().clone(),
@@ -66,11 +66,12 @@
         // The end of a maintenance changes a target's effective start, so it is applied first: the scheduler
         // restores its estimates of a target only if the target's start is the same as when they were made.
         self.refresh_all_targets();
-        let names = &mut self.names;
         let targets: HashMap<&str, TargetId> =
             self.endpoints.iter().map(|(id, target)| (target.reported.name.as_str(), id)).collect();
-        let scheduler = scheduler
-            .map_names(|target| targets.get(target.as_str()).copied(), |volume| Some(names.volume(&volume)));
+        let scheduler = scheduler.map_names(
+            |target| targets.get(target.as_str()).copied(),
+            |volume| u64::from_str_radix(&volume, 16).ok().map(VolumeId),
+        );
         self.scheduler.restore(scheduler);
     }
 
--- a/src/core/actor/requests.rs
+++ b/src/core/actor/requests.rs
@@ -5,7 +5,7 @@
 use crate::core::clock::micros;
 use crate::core::open_requests::OpenRequest;
 use crate::core::request::{Request, Response};
-use crate::interface::{Event, KeyId, Micros, RequestId, RequestProfile, ShardId, TargetSetId};
+use crate::interface::{Event, KeyId, Micros, RequestId, RequestProfile, ShardId, TargetSetId, VolumeId};
 use crate::names::Names;
 use std::fmt::Write;
 use std::rc::Rc;
@@ -33,9 +33,6 @@
         let profile = self.build_profile(id, &request, deadline, target_set);
         let shard = profile.shard.map(|shard| shard.0);
         let unavailable = self.endpoints.sites().and_then(|sites| sites.unavailable(submitted, shard));
-        if let Some(quota) = &mut self.quota {
-            quota.record_volume(request.volume, profile.volume);
-        }
         let open = OpenRequest {
             request: Rc::new(request),
             arrived,
@@ -68,7 +65,7 @@
             id,
             class: self.names.class(&request.class),
             plan: request.plan.as_deref().and_then(|plan| self.names.plan(plan)),
-            volume: self.names.volume(&format!("{:016x}", request.volume)),
+            volume: VolumeId(request.volume),
             key: Some(KeyId(request.object)),
             units: request.units,
             shard: self.object_locations.find(object, request.shard).map(ShardId),
--- a/src/core/quota.rs
+++ b/src/core/quota.rs
@@ -2,53 +2,29 @@
 
 use crate::interface::{Micros, VolumeId};
 use rowanglade_quota_exchange::{Message, MilliUnits, Peer, QuotaExchange, TokenBuckets};
-use std::collections::HashMap;
 use tokio::sync::mpsc;
 
-/// Volumes whose names are kept, about 4 MB. When the limit is reached, the map is cleared and filled again
-/// by later requests.
-const MAX_VOLUMES: usize = 65_536;
-
 /// A datagram to be sent to one peer, or to all peers if none is given.
 pub type OutgoingDatagram = (Option<Peer>, Message);
 
-/// The quota exchange, with the mapping between the volume names on the wire and the scheduler's volume ids.
+/// The quota exchange. The number of a volume on the wire is the scheduler's id of it.
 #[derive(Debug)]
 pub struct QuotaPeers {
     exchange: QuotaExchange,
     outgoing: mpsc::Sender<OutgoingDatagram>,
-    volume_ids: HashMap<u64, VolumeId>,
-    volume_names: HashMap<VolumeId, u64>,
 }
 
 impl QuotaPeers {
     /// The exchange of an initiator that has just started. `incarnation` distinguishes this run from earlier
     /// ones; datagrams are sent through `outgoing`.
     pub fn new(incarnation: u64, outgoing: mpsc::Sender<OutgoingDatagram>) -> QuotaPeers {
-        QuotaPeers {
-            exchange: QuotaExchange::new(incarnation),
-            outgoing,
-            volume_ids: HashMap::new(),
-            volume_names: HashMap::new(),
-        }
-    }
-
-    /// Records the id of a volume for which a request has arrived.
-    pub(super) fn record_volume(&mut self, name: u64, volume: VolumeId) {
-        if self.volume_ids.len() >= MAX_VOLUMES {
-            self.volume_ids.clear();
-            self.volume_names.clear();
-        }
-        self.volume_ids.insert(name, volume);
-        self.volume_names.insert(volume, name);
+        QuotaPeers { exchange: QuotaExchange::new(incarnation), outgoing }
     }
 
     /// Records that a volume needs more units than its token bucket holds. Peers are asked with the next
     /// poll.
     pub(super) fn record_need(&mut self, now: Micros, volume: VolumeId, units: f64, initiators: u32) {
-        if let Some(name) = self.volume_names.get(&volume) {
-            self.exchange.record_need(now, *name, to_milli_units(units), initiators);
-        }
+        self.exchange.record_need(now, volume.0, to_milli_units(units), initiators);
     }
 
     /// When [`poll`](Self::poll) is due next.
@@ -65,7 +41,7 @@
 
     /// Handles a peer's datagram and sends the answer back to the peer.
     pub(super) fn handle(&mut self, now: Micros, from: Peer, message: &Message, buckets: &mut dyn Buckets) {
-        let mut buckets = NamedBuckets { buckets, volume_ids: &self.volume_ids };
+        let mut buckets = NumberedBuckets(buckets);
         if let Some(answer) = self.exchange.handle_message(now, from, message, &mut buckets) {
             self.send((Some(from), answer));
         }
@@ -85,22 +61,16 @@
     fn receive(&mut self, volume: VolumeId, units: f64);
 }
 
-/// The scheduler's token buckets, addressed by the volumes' names on the wire.
-struct NamedBuckets<'a> {
-    buckets: &'a mut dyn Buckets,
-    volume_ids: &'a HashMap<u64, VolumeId>,
-}
+/// The scheduler's token buckets, addressed by the volumes' numbers on the wire.
+struct NumberedBuckets<'a>(&'a mut dyn Buckets);
 
-impl TokenBuckets for NamedBuckets<'_> {
+impl TokenBuckets for NumberedBuckets<'_> {
     fn take_unused(&mut self, volume: u64, max: MilliUnits) -> MilliUnits {
-        let Some(volume) = self.volume_ids.get(&volume) else { return 0 };
-        to_milli_units(self.buckets.offer(*volume, f64::from(max) / 1e3))
+        to_milli_units(self.0.offer(VolumeId(volume), f64::from(max) / 1e3))
     }
 
     fn add(&mut self, volume: u64, units: MilliUnits) {
-        if let Some(volume) = self.volume_ids.get(&volume) {
-            self.buckets.receive(*volume, f64::from(units) / 1e3);
-        }
+        self.0.receive(VolumeId(volume), f64::from(units) / 1e3);
     }
 }
 
--- a/src/interface/ids.rs
+++ b/src/interface/ids.rs
@@ -15,7 +15,7 @@
     /// A storage target. It keeps its id when it restarts.
     TargetId(u32);
     /// A volume, whose requests share the rates of its QoS plan.
-    VolumeId(u32);
+    VolumeId(u64);
     /// A client's request. An id is never reused.
     RequestId(u64);
     /// The object that a request is for. Requests with the same key may have to run in order.
--- a/src/names.rs
+++ b/src/names.rs
@@ -89,12 +89,12 @@
 
     /// The volume with this name; its first occurrence assigns a new id.
     pub fn volume(&mut self, name: &str) -> VolumeId {
-        VolumeId(self.volumes.number(name) as u32)
+        VolumeId(self.volumes.number(name))
     }
 
     /// The name of a volume; `None` if it was dropped.
     pub fn volume_name(&self, id: VolumeId) -> Option<&str> {
-        self.volumes.name(u64::from(id.0))
+        self.volumes.name(id.0)
     }
 
     /// The key with this name; its first occurrence assigns a new id.
--- a/src/scheduler/fairness.rs
+++ b/src/scheduler/fairness.rs
@@ -101,6 +101,6 @@
         let level = self.fair_share.level_mut(shard);
         level.record_arrival(now, request.units, excess);
         let allowed_rate = level.allowed_rate(plan, &demand);
-        volume.by_shard.entry(shard).or_default().spend_credit(now, allowed_rate, request.units)
+        volume.by_shard.get_or_insert(shard).spend_credit(now, allowed_rate, request.units)
     }
 }
--- a/src/scheduler/key_order.rs
+++ b/src/scheduler/key_order.rs
@@ -28,6 +28,9 @@
     pub fn remove(&mut self, key: KeyId, id: RequestId) {
         if let Some(queue) = self.queues.get_mut(&key) {
             queue.requests.retain(|other| *other != id);
+            if queue.requests.is_empty() && queue.quiet_until == 0 {
+                self.queues.remove(&key);
+            }
         }
     }
 
--- a/src/scheduler/quota.rs
+++ b/src/scheduler/quota.rs
@@ -14,10 +14,17 @@
 /// (docs/design/fleet.md).
 const KEPT_DEMAND_SECONDS: f64 = 0.5;
 
+/// Most token buckets that are kept: some 100 bytes each.
+pub(super) const MAX_BUCKETS: usize = 16_384;
+/// How many of them are left by an eviction, so that evictions are rare.
+const BUCKETS_AFTER_EVICTION: usize = MAX_BUCKETS / 4 * 3;
+
 /// The token buckets of all volumes with a limit whose requests this initiator has received.
 #[derive(Default)]
 pub(super) struct QuotaLedger {
     buckets: BTreeMap<VolumeId, TokenBucket>,
+    /// When buckets were evicted that were not full. A new bucket may be one of them.
+    evicted_at: Micros,
 }
 
 /// The units of its volume's limit that a request lacks at this initiator.
@@ -51,6 +58,25 @@
         self.buckets.entry(volume).and_modify(|bucket| bucket.add(now, units.max(0.0)));
     }
 
+    /// Removes buckets once there are more than [`MAX_BUCKETS`]: full ones, which a new one would equal, and
+    /// then those that were used least recently. After that a new bucket starts without units, so that no
+    /// volume exceeds its limit.
+    pub fn evict_surplus(&mut self, now: Micros) {
+        if self.buckets.len() <= MAX_BUCKETS {
+            return;
+        }
+        self.buckets.retain(|_, bucket| !bucket.is_full(now));
+        let Some(surplus) = self.buckets.len().checked_sub(BUCKETS_AFTER_EVICTION) else { return };
+        let used_at = |(volume, bucket): (&VolumeId, &TokenBucket)| (bucket.updated_at(), *volume);
+        let unreserved = self.buckets.iter().filter(|(_, bucket)| !bucket.is_reserved());
+        let mut by_use: Vec<(Micros, VolumeId)> = unreserved.map(used_at).collect();
+        by_use.sort_unstable();
+        for (_, volume) in by_use.iter().take(surplus) {
+            self.buckets.remove(volume);
+        }
+        self.evicted_at = now;
+    }
+
     /// Removes idle buckets of volumes without requests.
     pub fn remove_idle(&mut self, now: Micros, after: Micros, has_requests: impl Fn(VolumeId) -> bool) {
         self.buckets.retain(|volume, bucket| !bucket.is_idle(now, after) || has_requests(*volume));
@@ -64,7 +90,7 @@
         let plan = request.plan.map(|plan| &self.settings.plans[plan.0 as usize]);
         let Some(limit) = plan.and_then(|plan| plan.limit) else { return };
         let volume = request.volume;
-        let started_at = self.ownership.history_since.unwrap_or(now);
+        let started_at = self.ownership.history_since.unwrap_or(now).max(self.quota.evicted_at);
         let new = TokenBucket::exhausted(limit.debt_limit / request.initiators, started_at);
         let bucket = self.quota.buckets.entry(volume).or_insert(new);
         bucket.configure(limit.rate / request.initiators, limit.burst / request.initiators);
--- a/src/scheduler/retry.rs
+++ b/src/scheduler/retry.rs
@@ -22,7 +22,10 @@
     /// Records the arrival of a request, whether it is admitted or not.
     pub fn record_arrival(&mut self, now: Micros, budget: &RetryBudget) {
         self.arrivals.push_back(now);
-        self.arrivals.retain(|at| at + budget.window > now);
+        // In the order of time, so that the cost of an arrival does not grow with their number.
+        while self.arrivals.front().is_some_and(|at| at + budget.window <= now) {
+            self.arrivals.pop_front();
+        }
     }
 
     /// Counts a retry if the budget allows it: the retries within the window stay at or below the minimum
@@ -30,7 +33,8 @@
     /// that the bound holds whichever end of the window is inclusive.
     pub fn try_spend(&mut self, now: Micros, budget: &RetryBudget) -> bool {
         self.retries.retain(|at| at + budget.window >= now);
-        let arrivals = self.arrivals.iter().filter(|at| **at + budget.window > now).count() as f64;
+        let expired = self.arrivals.partition_point(|at| at + budget.window <= now);
+        let arrivals = (self.arrivals.len() - expired) as f64;
         let allowed = self.retries.len() as f64 + 1.0 <= budget.minimum + budget.ratio * arrivals;
         if allowed {
             self.retries.push_back(now);
--- a/src/scheduler/slow_start.rs
+++ b/src/scheduler/slow_start.rs
@@ -59,14 +59,14 @@
         let mean_units = self.settings.mean_request_units;
         let volume = self.volumes.get(&request.volume);
         let shard = self.targets.get(&target).map(|state| state.shard);
-        let at_shard = volume.and_then(|volume| volume.by_shard.get(&shard?));
+        let at_shard = volume.and_then(|volume| volume.by_shard.get(shard?));
         let pacer = at_shard.and_then(|usage| usage.reserve_pacer);
         let demand_all = volume.map_or(0.0, |usage| usage.demand_long.sum(now));
         let demand_here = at_shard.map_or(0.0, |usage| usage.demand_long.sum(now)).max(mean_units);
         let nominal = plan.nominal.max(plan.reserve);
         let nominal_here = nominal * demand_here / (demand_all + mean_units).max(demand_here);
         Some(PacedReserve {
-            pacer: pacer.unwrap_or_else(|| ReservePacer::new(u64::from(request.volume.0))),
+            pacer: pacer.unwrap_or_else(|| ReservePacer::new(request.volume.0)),
             rate: nominal_here.min(plan.reserve) / request.initiators,
         })
     }
@@ -86,7 +86,7 @@
             {
                 pacer.reserve(rule, budget, now, rate, reserved);
                 let by_shard = &mut self.volumes.entry(volume).or_default().by_shard;
-                by_shard.entry(state.shard).or_default().reserve_pacer = Some(pacer);
+                by_shard.get_or_insert(state.shard).reserve_pacer = Some(pacer);
             }
             _ => budget.reserve(reserved),
         }
@@ -114,6 +114,6 @@
     fn reserve_pacer_mut(&mut self, target: TargetId, id: RequestId) -> Option<&mut ReservePacer> {
         let shard = self.targets.get(&target)?.shard;
         let volume = self.volumes.get_mut(&self.requests.get(&id)?.volume)?;
-        volume.by_shard.get_mut(&shard)?.reserve_pacer.as_mut()
+        volume.by_shard.get_mut(shard)?.reserve_pacer.as_mut()
     }
 }
--- a/src/scheduler/snapshot.rs
+++ b/src/scheduler/snapshot.rs
@@ -175,7 +175,7 @@
         }
         let by_shard = &mut self.volumes.entry(id).or_default().by_shard;
         for (shard, pacer) in snapshot.reserve_pacers {
-            by_shard.entry(ShardId(shard)).or_default().reserve_pacer = Some(pacer);
+            by_shard.get_or_insert(ShardId(shard)).reserve_pacer = Some(pacer);
         }
     }
 
--- a/src/scheduler/timers.rs
+++ b/src/scheduler/timers.rs
@@ -37,6 +37,8 @@
         self.expire_unsent(now, actions);
         self.place_unplaced(now);
         self.dispatch_all(now, actions);
+        self.evict_surplus_volumes(now);
+        self.quota.evict_surplus(now);
         if now >= self.timers.swept_at + IDLE_EXPIRY_MICROS {
             self.remove_idle(now);
         }
--- a/src/scheduler/token_bucket.rs
+++ b/src/scheduler/token_bucket.rs
@@ -84,6 +84,21 @@
         fraction * self.capacity
     }
 
+    /// Whether the bucket holds all that it can, with nothing reserved.
+    pub fn is_full(&self, now: Micros) -> bool {
+        !self.is_reserved() && self.available(now) >= self.capacity
+    }
+
+    /// Whether units are reserved.
+    pub fn is_reserved(&self) -> bool {
+        self.reserved > 0.0
+    }
+
+    /// When the units were last counted.
+    pub fn updated_at(&self) -> Micros {
+        self.updated_at
+    }
+
     /// Whether the bucket has been unused for so long that a new one would be equivalent.
     pub fn is_idle(&self, now: Micros, after: Micros) -> bool {
         self.reserved == 0.0 && self.updated_at + after <= now
--- a/src/scheduler/volume_usage.rs
+++ b/src/scheduler/volume_usage.rs
@@ -2,9 +2,8 @@
 
 use super::Scheduler;
 use super::decaying_sum::{LongRate, Rate};
-use crate::interface::{Micros, Outcome, QosPlan, RequestId, Settings, ShardId};
+use crate::interface::{Micros, Outcome, QosPlan, RequestId, Settings, ShardId, VolumeId};
 use rowanglade_slow_start::ReservePacer;
-use std::collections::BTreeMap;
 
 /// For how many metering periods the last reading of the usage meter is valid: a volume that other initiators
 /// no longer use gets no further reading.
@@ -12,6 +11,11 @@
 /// The lower bound of rates in divisions, in units per second.
 const SMALLEST_RATE: f64 = 1e-9;
 
+/// Most volumes whose usage is kept: some 300 bytes each.
+pub(super) const MAX_VOLUMES: usize = 8_192;
+/// How many of them are left by an eviction, so that evictions are rare.
+const VOLUMES_AFTER_EVICTION: usize = MAX_VOLUMES / 4 * 3;
+
 /// The last reading of the usage meter.
 #[derive(Clone, Copy)]
 struct MeterReading {
@@ -36,6 +40,11 @@
     credited_at: Micros,
 }
 
+/// A volume's requests by shard. Most volumes have one shard, and there may be thousands of volumes, so this
+/// takes no more memory than its entries.
+#[derive(Default)]
+pub(super) struct ShardUsages(Vec<(ShardId, ShardUsage)>);
+
 /// A volume, as this initiator sees it.
 #[derive(Default)]
 pub(super) struct VolumeUsage {
@@ -45,7 +54,7 @@
     pub last_request_at: Micros,
     /// Requested at all shards, over a longer time.
     pub demand_long: LongRate,
-    pub by_shard: BTreeMap<ShardId, ShardUsage>,
+    pub by_shard: ShardUsages,
 }
 
 /// The demand of a volume at one shard, in units per second.
@@ -68,12 +77,40 @@
     pub units_elsewhere: f64,
 }
 
+impl ShardUsages {
+    pub fn get(&self, shard: ShardId) -> Option<&ShardUsage> {
+        self.0.iter().find(|(other, _)| *other == shard).map(|(_, usage)| usage)
+    }
+
+    pub fn get_mut(&mut self, shard: ShardId) -> Option<&mut ShardUsage> {
+        self.0.iter_mut().find(|(other, _)| *other == shard).map(|(_, usage)| usage)
+    }
+
+    pub fn get_or_insert(&mut self, shard: ShardId) -> &mut ShardUsage {
+        let known = self.0.iter().position(|(other, _)| *other == shard);
+        let position = known.unwrap_or_else(|| {
+            self.0.reserve_exact(1);
+            self.0.push((shard, ShardUsage::default()));
+            self.0.len() - 1
+        });
+        &mut self.0[position].1
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (ShardId, &ShardUsage)> {
+        self.0.iter().map(|(shard, usage)| (*shard, usage))
+    }
+
+    pub fn values_mut(&mut self) -> impl Iterator<Item = &mut ShardUsage> {
+        self.0.iter_mut().map(|(_, usage)| usage)
+    }
+}
+
 impl VolumeUsage {
     pub fn record_arrival(&mut self, now: Micros, shard: ShardId, units: f64) {
         self.last_request_at = now;
         self.demand.add(now, units);
         self.demand_long.add(now, units);
-        let at_shard = self.by_shard.entry(shard).or_default();
+        let at_shard = self.by_shard.get_or_insert(shard);
         at_shard.demand.add(now, units);
         at_shard.demand_long.add(now, units);
     }
@@ -92,7 +129,7 @@
     ) -> ShardDemand {
         let all_shards = self.demand.per_second(now).max(SMALLEST_RATE);
         let meter_valid_for = METER_VALID_PERIODS * settings.meter_period;
-        let at_shard = self.by_shard.get(&shard);
+        let at_shard = self.by_shard.get(shard);
         let here = at_shard.map_or(0.0, |usage| usage.demand.per_second(now));
         let elsewhere = match self.meter.filter(|meter| now < meter.at + meter_valid_for) {
             _ if settings.reports_usage_elsewhere => {
@@ -124,6 +161,23 @@
 }
 
 impl Scheduler {
+    /// Drops the usage of the volumes that requested least, once there are more than [`MAX_VOLUMES`].
+    ///
+    /// Guards against a client that sends each request for another volume: their usage took more memory with
+    /// each, without end.
+    pub(super) fn evict_surplus_volumes(&mut self, now: Micros) {
+        if self.volumes.len() <= MAX_VOLUMES {
+            return;
+        }
+        let demand = |(id, usage): (&VolumeId, &VolumeUsage)| (usage.demand_long.sum(now), *id);
+        let mut by_demand: Vec<(f64, VolumeId)> = self.volumes.iter().map(demand).collect();
+        let surplus = by_demand.len() - VOLUMES_AFTER_EVICTION;
+        by_demand.select_nth_unstable_by(surplus, |(a, _), (b, _)| a.total_cmp(b));
+        for (_, volume) in &by_demand[..surplus] {
+            self.volumes.remove(volume);
+        }
+    }
+
     /// Records what the end of an attempt reports of its volume's usage.
     pub(super) fn record_usage(&mut self, now: Micros, id: RequestId, report: UsageReport) {
         let Some(request) = self.requests.get(&id) else { return };
@@ -135,7 +189,7 @@
         if report.outcome == Outcome::Served {
             volume.served.add(now, request.units);
         }
-        let at_shard = request.shard.and_then(|shard| volume.by_shard.get_mut(&shard));
+        let at_shard = request.shard.and_then(|shard| volume.by_shard.get_mut(shard));
         if let Some(at_shard) = at_shard {
             let units = report.units_elsewhere;
             at_shard.elsewhere.add(now, if units.is_finite() { units.max(0.0) } else { 0.0 });
--- a/tests/cold_fleet.rs
+++ b/tests/cold_fleet.rs
@@ -288,7 +288,7 @@
             }
             self.last_request += 1;
             let profile = RequestProfile {
-                volume: VolumeId(volume),
+                volume: VolumeId(u64::from(volume)),
                 initiators: initiators_of_volume,
                 shard: Some(ShardId(target)),
                 ..request(self.last_request, KEYED)
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -162,3 +162,29 @@
     // The burst, the debt limit, and the units that the bucket fills up by in the test.
     assert!((15..=20).contains(&drawn), "{drawn} requests drew on the limit, expected 15 to 20");
 }
+
+// Guards against a limit that is exceeded by way of many volumes: buckets are evicted once there are too many, and one
+// that is created again must not hold the units that the evicted one had granted.
+#[test]
+fn an_evicted_bucket_grants_no_units_a_second_time() {
+    /// More than the buckets that are kept.
+    const VOLUMES: u64 = 20_000;
+    let mut harness = harness_with_full_bucket();
+    let mut granted = 0.0;
+    for id in 1..=40 {
+        granted += 2.0 * started_requests(&harness.arrive(limited_request(id))).len() as f64;
+        harness.event(Event::ClientGone { id: RequestId(id) });
+        harness.scheduler.commit_reserved(harness.now, RequestId(id));
+        harness.attempt_ended(id, 0, id as u32 % TARGETS, Outcome::Served, 0);
+    }
+    assert!(granted >= BURST, "{granted}");
+    for volume in 1..=VOLUMES {
+        let id = 100 + volume;
+        harness.arrive(RequestProfile { volume: VolumeId(volume), ..limited_request(id) });
+        harness.event(Event::ClientGone { id: RequestId(id) });
+    }
+    let again = 1_000_000..1_000_040u64;
+    let sent: Vec<u64> =
+        again.flat_map(|id| started_requests(&harness.arrive(limited_request(id)))).collect();
+    assert!(sent.is_empty(), "{} units more than the limit allows", 2 * sent.len());
+}
--- a/tests/many_initiators.rs
+++ b/tests/many_initiators.rs
@@ -91,7 +91,7 @@
         for (index, harness) in fleet.iter_mut().enumerate() {
             let mut actions = harness.advance(100 * MS);
             if (step + index as u64).is_multiple_of(5) {
-                let volume = VolumeId(index as u32 / 2);
+                let volume = VolumeId(index as u64 / 2);
                 actions.extend(harness.arrive(RequestProfile {
                     volume,
                     initiators: 2,
--- a/tests/network/floods.rs
+++ b/tests/network/floods.rs
@@ -106,3 +106,30 @@
         });
     }
 }
+
+// Guards against memory that grows without end: each new volume took 2 KB, of which nothing was given back for 30 s, and
+// a client may name a new one with every request.
+#[test]
+fn requests_of_ever_new_volumes_do_not_make_memory_grow() {
+    const CLIENTS: u64 = 10;
+    const REQUESTS: u64 = 1_000;
+    /// A quarter of the least memory that operators give a process.
+    const GROWTH_BYTES: u64 = 8 << 20;
+    run_test(async {
+        let site = start_stub_site(&[TargetPlan { slots: 64, ..TargetPlan::default() }]).await;
+        let daemon = start_daemon(&site, |_| {});
+        while send_request(daemon.http, &request("view", "up", 0, "")).await.starts_with("503") {}
+        let before = daemon.usage().memory_bytes;
+        let clients = (0..CLIENTS).map(async |client| {
+            let mut stream = TcpStream::connect(daemon.http).await.expect("connected");
+            for number in 0..REQUESTS {
+                let answer =
+                    send_request_on(&mut stream, &read_of_new_volume(client * REQUESTS + number)).await;
+                assert!(answer.starts_with("200") || answer.starts_with("503"), "{answer}");
+            }
+        });
+        futures_util::future::join_all(clients).await;
+        let growth = daemon.usage().memory_bytes.saturating_sub(before);
+        assert!(growth <= GROWTH_BYTES, "{} KB more", growth >> 10);
+    });
+}
