Do not run a request whose id was used before

Cause: an id was free again as soon as its request was settled. A client that leaves lets its attempt run on, and when that had ended a request that came with the same id was sent like a new one. The successor of an upgrade knew none of the ids that its predecessor had used, or went on using on its open connections.

An id whose request never ran may come again.

--- a/crates/lab/src/scale/lists.rs
+++ b/crates/lab/src/scale/lists.rs
@@ -224,6 +224,7 @@
         let (_handover, upgrades) = mpsc::channel(1);
         let (commands, _commands) = mpsc::channel(1);
         let (observations, _observations) = mpsc::channel(1);
+        let (used_ids, _used_ids) = mpsc::channel(1);
         let subset = subset.map(|rule| Subset::new(rule, 0, size.initiators));
         let dependencies = CoreDependencies {
             routes: table,
@@ -232,6 +233,7 @@
             handover_requests: upgrades,
             admin_commands: commands,
             object_observations: observations,
+            used_ids,
             sites: None,
             subset,
         };
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -22,6 +22,7 @@
 use crate::core::quota::QuotaPeers;
 use crate::core::readiness::Readiness;
 use crate::core::request::Response;
+use crate::core::request_ids::RequestIds;
 use crate::core::routes::{LoadedRoutes, Routes};
 use crate::core::timers::Timers;
 use crate::interface::{Action, Event, LoadReport, Micros, Outcome, TargetId};
@@ -56,6 +57,8 @@
     /// Newly loaded routes take effect between two messages.
     loaded_routes: watch::Receiver<Arc<LoadedRoutes>>,
     /// Absent where initiators do not exchange quota.
+    /// The ids of requests that are open or may have run.
+    request_ids: RequestIds,
     quota: Option<QuotaPeers>,
     /// Units that the scheduler offered in its latest [`Action::QuotaOffered`].
     quota_offered: f64,
@@ -106,11 +109,12 @@
             handover_requests,
             admin_commands,
             object_observations,
+            used_ids,
             sites,
             subset,
         } = dependencies;
         let routes = Routes::new(Arc::clone(&loaded_routes.borrow_and_update()));
-        let CoreMailbox { receiver, sender, ready, unanswered, client_ids, revision } = mailbox;
+        let CoreMailbox { receiver, sender, ready, unanswered, request_ids, revision } = mailbox;
         Core {
             clock,
             names,
@@ -120,7 +124,8 @@
             mailbox: receiver,
             mailbox_sender: sender,
             admin_requests,
-            open_requests: OpenRequests::new(client_ids, unanswered),
+            open_requests: OpenRequests::new(request_ids.clone(), unanswered),
+            request_ids,
             endpoints: Endpoints::new(connect, sites, revision),
             routes,
             loaded_routes,
@@ -128,7 +133,7 @@
             quota_offered: 0.0,
             object_locations: ObjectLocations::new(MAX_OBJECT_LOCATIONS),
             subset,
-            handover: HandoverPort::new(handover_requests, admin_commands, object_observations),
+            handover: HandoverPort::new(handover_requests, admin_commands, object_observations, used_ids),
             readiness: Readiness::new(ready),
             diagnostics: Diagnostics::default(),
         }
--- a/src/core/actor/attempts.rs
+++ b/src/core/actor/attempts.rs
@@ -114,6 +114,9 @@
             self.scheduler.commit_reserved(now, id);
         }
         open.trace(number, |trace| trace.started = started.then_some(now));
+        if started {
+            self.handover.send_used_id(&open.request.id);
+        }
         let (id, target) = (&open.request.id, self.names.target_name(target));
         tracing::debug!(id, attempt = number.0, target, started, "attempt connection established");
         started
--- a/src/core/actor/handover.rs
+++ b/src/core/actor/handover.rs
@@ -16,6 +16,7 @@
             HandoverRequest::Freeze(answer) => {
                 let _ = answer.send(Box::new(self.handover_state()));
                 self.set_handed_over(true);
+                self.handover.start_sharing_ids();
             }
             HandoverRequest::Resume(answer) => {
                 self.set_handed_over(false);
@@ -36,6 +37,7 @@
             HandoverRequest::ObjectObserved(object, observation) => {
                 self.object_locations.merge([(object, observation)])
             }
+            HandoverRequest::IdUsed(id) => self.request_ids.merge([id]),
         }
     }
 
@@ -55,12 +57,15 @@
             maintenance: self.endpoints.maintenance().clone(),
             scheduler,
             object_locations: self.object_locations.iter().collect(),
+            used_ids: self.request_ids.hashes(),
         }
     }
 
     /// Continues with the state that another process owned.
     fn take_over(&mut self, state: HandoverState) {
-        let HandoverState { maintenance, scheduler, object_locations } = state;
+        let HandoverState { maintenance, scheduler, object_locations, used_ids } = state;
+        self.request_ids.merge(used_ids);
+        self.handover.start_sharing_ids();
         self.endpoints.set_maintenance(maintenance);
         self.object_locations.merge(object_locations);
         // The end of a maintenance changes a target's effective start, so it is applied first: the scheduler
--- a/src/core/dependencies.rs
+++ b/src/core/dependencies.rs
@@ -3,6 +3,7 @@
 use crate::core::admin::{AdminCommand, AdminRequest};
 use crate::core::handover_request::HandoverRequest;
 use crate::core::quota::QuotaPeers;
+use crate::core::request_ids::RequestIdHash;
 use crate::core::routes::LoadedRoutes;
 use crate::core::site_monitor::SiteSettings;
 use rowanglade_object_locations::{ObjectKey, Observation};
@@ -24,6 +25,8 @@
     pub admin_commands: mpsc::Sender<AdminCommand>,
     /// Observed object locations, to be forwarded to the other process of a handover, if there is one.
     pub object_observations: mpsc::Sender<(ObjectKey, Observation)>,
+    /// Ids of requests that may run, to be forwarded to the other process of a handover, if there is one.
+    pub used_ids: mpsc::Sender<RequestIdHash>,
     /// Absent where site failover is disabled.
     pub sites: Option<SiteSettings>,
     /// Absent where no targets are preferred.
--- a/src/core/handover_request.rs
+++ b/src/core/handover_request.rs
@@ -2,6 +2,7 @@
 
 use crate::core::admin::AdminCommand;
 use crate::core::endpoint::Endpoint;
+use crate::core::request_ids::RequestIdHash;
 use crate::interface::Micros;
 use crate::scheduler::snapshot::SchedulerSnapshot;
 use rowanglade_maintenance::Maintenance;
@@ -21,6 +22,9 @@
     /// observes the locations again.
     #[serde(default, rename = "places")]
     pub object_locations: Vec<(ObjectKey, Observation)>,
+    /// The ids of requests that are open or may have run. A build that does not support the field ignores it.
+    #[serde(default, rename = "used", skip_serializing_if = "Vec::is_empty")]
+    pub used_ids: Vec<RequestIdHash>,
 }
 
 /// A request of the handover actor to the core.
@@ -40,4 +44,6 @@
     AdminCommand(AdminCommand),
     /// Record an object location that the other process observed.
     ObjectObserved(ObjectKey, Observation),
+    /// Do not run a request of this id, which may run at the other process.
+    IdUsed(RequestIdHash),
 }
--- a/src/core/mailbox.rs
+++ b/src/core/mailbox.rs
@@ -4,8 +4,8 @@
 use crate::core::access_log::{AccessLog, LogEntry};
 use crate::core::endpoint::{Endpoint, Protocol};
 use crate::core::message::Message;
-use crate::core::open_requests::ClientIds;
 use crate::core::request::{Request, Response};
+use crate::core::request_ids::RequestIds;
 use crate::core::validation::{InvalidRequest, RequestConstraints};
 use crate::interface::{EndpointUpdateKind, RequestId};
 use crate::settings::Settings;
@@ -32,13 +32,13 @@
     pub(super) sender: mpsc::WeakSender<Message>,
     pub(super) ready: watch::Sender<bool>,
     pub(super) unanswered: Rc<Cell<usize>>,
-    pub(super) client_ids: ClientIds,
+    pub(super) request_ids: RequestIds,
     pub(super) revision: watch::Sender<u64>,
 }
 
 /// Creates the core's mailbox. Requests are validated against the settings; each gets a line in `log`.
 pub fn mailbox(settings: &Settings, log: Option<AccessLog>) -> (CoreMailbox, CoreHandle) {
-    let client_ids = ClientIds::default();
+    let request_ids = RequestIds::default();
     let (sender, receiver) = mpsc::channel(MAILBOX_CAPACITY);
     let (ready_sender, ready) = watch::channel(false);
     let unanswered = Rc::new(Cell::new(0));
@@ -48,7 +48,7 @@
         sender: sender.downgrade(),
         ready: ready_sender,
         unanswered: Rc::clone(&unanswered),
-        client_ids: Rc::clone(&client_ids),
+        request_ids: request_ids.clone(),
         revision: revision_sender,
     };
     let handle = CoreHandle {
@@ -56,7 +56,7 @@
         next_id: Rc::new(Cell::new(1)),
         ready,
         unanswered,
-        client_ids,
+        request_ids,
         constraints: Rc::new(RequestConstraints::from_settings(settings)),
         log,
         revision,
@@ -71,7 +71,7 @@
     next_id: Rc<Cell<u64>>,
     ready: watch::Receiver<bool>,
     unanswered: Rc<Cell<usize>>,
-    client_ids: ClientIds,
+    request_ids: RequestIds,
     constraints: Rc<RequestConstraints>,
     log: Option<AccessLog>,
     revision: watch::Receiver<u64>,
@@ -81,13 +81,15 @@
     /// Checks a request against the settings and the open requests.
     ///
     /// # Errors
-    /// The settings do not allow the request, or an open request has the same id: if served, it could get the
-    /// response to the other request.
+    /// The settings do not allow the request, or another request has the same id and is open or may have run.
     pub fn validate(&self, request: &Request) -> Result<(), InvalidRequest> {
         self.constraints.check(request)?;
-        if self.client_ids.borrow().contains(&request.id) {
+        if self.request_ids.is_open(&request.id) {
             return Err(InvalidRequest::DuplicateId);
         }
+        if self.request_ids.is_used(&request.id) {
+            return Err(InvalidRequest::UsedId);
+        }
         Ok(())
     }
 
@@ -102,7 +104,7 @@
         let permits = self.reserve_two_permits().await;
         // Another request with the same id may have arrived in the meantime.
         self.validate(&request)?;
-        self.client_ids.borrow_mut().insert(request.id.clone());
+        self.request_ids.open(&request.id);
         let (response, receiver) = oneshot::channel();
         let id = RequestId(self.next_id.get());
         self.next_id.set(id.0 + 1);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -22,6 +22,7 @@
 mod quota;
 mod readiness;
 mod request;
+mod request_ids;
 mod routes;
 mod site_monitor;
 mod start_times;
@@ -44,6 +45,7 @@
 pub use message::Message;
 pub use quota::{OutgoingDatagram, QuotaPeers};
 pub use request::{AttemptResult, Request, RequestOrigin, Response};
+pub use request_ids::RequestIdHash;
 pub use routes::{LoadedRoutes, Routes};
 pub use site_monitor::SiteSettings;
 pub use start_times::StartTimes;
--- a/src/core/open_requests.rs
+++ b/src/core/open_requests.rs
@@ -2,9 +2,10 @@
 //! response is sent and none of its attempts is in flight. A watchdog watches their deadlines.
 
 use crate::core::request::{Request, Response};
+use crate::core::request_ids::RequestIds;
 use crate::interface::{AttemptNumber, Micros, Outcome, RequestId, TargetId, TargetSetId};
-use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::cell::Cell;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::oneshot;
@@ -14,9 +15,6 @@
 /// platform's rules allow.
 const WATCHDOG_DELAY: Micros = 10_000;
 
-/// The client-assigned ids of the requests that are not settled. No other request may use them meanwhile.
-pub(super) type ClientIds = Rc<RefCell<HashSet<String>>>;
-
 /// An attempt that has not ended.
 pub(super) struct InFlightAttempt {
     pub(super) target: TargetId,
@@ -122,15 +120,15 @@
     requests: HashMap<RequestId, OpenRequest>,
     /// The requests whose deadline is watched, ordered by the time at which the watchdog fails them.
     watchdog: BTreeSet<(Micros, RequestId)>,
-    client_ids: ClientIds,
+    request_ids: RequestIds,
     /// The number of requests without a response, shared with [`CoreHandle`](crate::core::CoreHandle).
     unanswered: Rc<Cell<usize>>,
 }
 
 impl OpenRequests {
     /// Creates an empty set. The ids and the count are shared with [`CoreHandle`](crate::core::CoreHandle).
-    pub(super) fn new(client_ids: ClientIds, unanswered: Rc<Cell<usize>>) -> OpenRequests {
-        OpenRequests { requests: HashMap::new(), watchdog: BTreeSet::new(), client_ids, unanswered }
+    pub(super) fn new(request_ids: RequestIds, unanswered: Rc<Cell<usize>>) -> OpenRequests {
+        OpenRequests { requests: HashMap::new(), watchdog: BTreeSet::new(), request_ids, unanswered }
     }
 
     /// The number of requests without a response.
@@ -191,11 +189,11 @@
         attempts.into_iter().any(|attempt| attempt.target == target)
     }
 
-    /// Removes a request that is finished and has no attempt in flight, which frees its client-assigned id.
+    /// Removes a request that is finished and has no attempt in flight, whose id is free again if it never ran.
     pub(super) fn remove_if_settled(&mut self, id: RequestId) -> Option<OpenRequest> {
         self.requests.get(&id).filter(|request| request.is_settled())?;
         let request = self.requests.remove(&id)?;
-        self.client_ids.borrow_mut().remove(&request.request.id);
+        self.request_ids.settle(&request.request.id, request.may_have_run());
         Some(request)
     }
 
--- a/src/core/validation.rs
+++ b/src/core/validation.rs
@@ -42,6 +42,9 @@
     /// An open request has the same id, so the two could not be distinguished.
     #[error("request id is in use by another open request")]
     DuplicateId,
+    /// A request with the same id may have run, here or at the other process of a handover.
+    #[error("request id was used by a request that may have run")]
+    UsedId,
 }
 
 impl RequestConstraints {
--- a/src/handover/actor.rs
+++ b/src/handover/actor.rs
@@ -6,7 +6,7 @@
 use super::links::{LinkInput, Links};
 use super::message::{Listeners, Message, Welcome};
 use super::paths::{HandoverPaths, OwnershipLock};
-use crate::core::{AdminCommand, HandoverRequest, HandoverState};
+use crate::core::{AdminCommand, HandoverRequest, HandoverState, RequestIdHash};
 use crate::net::accept::{AcceptFailures, pause};
 use rowanglade_handover::{Action, Event, Handover, LinkId, MessageKind};
 use rowanglade_object_locations::{ObjectKey, Observation};
@@ -42,6 +42,8 @@
     pub admin_commands: mpsc::Receiver<AdminCommand>,
     /// Object locations that the core has observed.
     pub object_observations: mpsc::Receiver<(ObjectKey, Observation)>,
+    /// Ids of requests that may run here.
+    pub used_ids: mpsc::Receiver<RequestIdHash>,
 }
 
 /// The handover actor.
@@ -132,6 +134,9 @@
                 Some(observation) = updates.object_observations.recv() => {
                     self.links.broadcast(&Message { object_observation: Some(observation), ..Message::default() });
                 }
+                Some(id) = updates.used_ids.recv() => {
+                    self.links.broadcast(&Message { used_id: Some(id), ..Message::default() });
+                }
                 Some(command) = updates.admin_commands.recv() => {
                     self.links.broadcast(&Message { admin_command: Some(command), ..Message::default() });
                 }
@@ -220,12 +225,13 @@
 
     /// Stores the contents of a message. `None`: the message has no protocol step for the state machine.
     fn handle_message(&mut self, link: LinkId, message: Message, descriptors: Vec<OwnedFd>) -> Option<Event> {
-        let Message { kind, welcome, state, admin_command, object_observation, share } = message;
+        let Message { kind, welcome, state, admin_command, object_observation, share, used_id } = message;
         self.core_requests.extend(admin_command.map(HandoverRequest::AdminCommand));
         self.core_requests.extend(
             object_observation
                 .map(|(object, observation)| HandoverRequest::ObjectObserved(object, observation)),
         );
+        self.core_requests.extend(used_id.map(HandoverRequest::IdUsed));
         if let (Some(share), Some(controls)) = (share, &self.controls) {
             controls.reserve_for_peer_process(share);
         }
--- a/src/handover/message.rs
+++ b/src/handover/message.rs
@@ -1,6 +1,6 @@
 //! The contents of handover messages. They are sent between builds: their serialized form is stable.
 
-use crate::core::{AdminCommand, HandoverState};
+use crate::core::{AdminCommand, HandoverState, RequestIdHash};
 use crate::interface::Micros;
 use crate::net::http::EndpointPage;
 use rowanglade_handover::MessageKind;
@@ -50,6 +50,9 @@
     pub object_observation: Option<(ObjectKey, Observation)>,
     /// The descriptors that a retired predecessor still uses.
     pub share: Option<DescriptorShare>,
+    /// The id of a request that may run at the sender.
+    #[serde(rename = "used", skip_serializing_if = "Option::is_none")]
+    pub used_id: Option<RequestIdHash>,
 }
 
 /// The sockets on which clients and peers are served, by name.
--- a/src/initiator.rs
+++ b/src/initiator.rs
@@ -139,6 +139,7 @@
             handover_requests: channels.handover_requests.receiver,
             admin_commands: channels.admin_commands.sender,
             object_observations: channels.object_observations.sender,
+            used_ids: channels.used_ids.sender,
             sites: config.sites.take(),
             subset: config.subset.take(),
         };
@@ -157,6 +158,7 @@
         let updates = CoreUpdates {
             admin_commands: channels.admin_commands.receiver,
             object_observations: channels.object_observations.receiver,
+            used_ids: channels.used_ids.receiver,
         };
         let memory = MemoryWatch { budget: budget.clone(), memory: connections.memory, core: core.clone() };
         let initiator = Initiator {
--- a/src/initiator/channels.rs
+++ b/src/initiator/channels.rs
@@ -1,6 +1,6 @@
 //! The channels between the core, the admin listener and the handover actor.
 
-use crate::core::{AdminCommand, AdminRequest, HandoverRequest};
+use crate::core::{AdminCommand, AdminRequest, HandoverRequest, RequestIdHash};
 use crate::net::admin;
 use rowanglade_object_locations::{ObjectKey, Observation};
 use tokio::sync::mpsc;
@@ -11,6 +11,9 @@
 /// Object locations that may wait for the other process: more than are observed in one second of a handover.
 const OBJECT_OBSERVATION_CAPACITY: usize = 1_024;
 
+/// Ids of requests that may wait for the other process: more than start in one second of a handover.
+const USED_ID_CAPACITY: usize = 8_192;
+
 /// The sender and the receiver of a channel.
 pub struct Channel<T> {
     /// The end that sends messages.
@@ -36,6 +39,8 @@
     pub admin_commands: Channel<AdminCommand>,
     /// From the core to the handover actor, which forwards them to the other process.
     pub object_observations: Channel<(ObjectKey, Observation)>,
+    /// From the core to the handover actor, which forwards them to the other process.
+    pub used_ids: Channel<RequestIdHash>,
 }
 
 impl CoreChannels {
@@ -46,6 +51,7 @@
             handover_requests: Channel::with_capacity(REQUEST_CAPACITY),
             admin_commands: Channel::with_capacity(REQUEST_CAPACITY),
             object_observations: Channel::with_capacity(OBJECT_OBSERVATION_CAPACITY),
+            used_ids: Channel::with_capacity(USED_ID_CAPACITY),
         }
     }
 }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -38,6 +38,7 @@
             let (_handover, handover_requests) = mpsc::channel(1);
             let (admin_commands, _admin_commands) = mpsc::channel(1);
             let (object_observations, _object_observations) = mpsc::channel(1);
+            let (used_ids, _used_ids) = mpsc::channel(1);
             let core = Core::new(
                 scheduler,
                 names,
@@ -51,6 +52,7 @@
                     handover_requests,
                     admin_commands,
                     object_observations,
+                    used_ids,
                     sites: None,
                     subset: None,
                 },
--- a/tests/network/handover.rs
+++ b/tests/network/handover.rs
@@ -10,10 +10,10 @@
 use tokio::net::{TcpStream, UnixStream};
 
 /// A test's own folder, removed when it is dropped.
-struct Folder(PathBuf);
+pub struct Folder(pub PathBuf);
 
 impl Folder {
-    fn new() -> Folder {
+    pub fn new() -> Folder {
         let unique = format!("rowanglade-up-{}-{:?}", std::process::id(), std::thread::current().id());
         let path = std::env::temp_dir().join(unique.replace(['(', ')'], ""));
         std::fs::create_dir_all(&path).expect("the folder is created");
@@ -33,7 +33,7 @@
 
 /// An initiator that takes over from the one that serves in this folder, if any. `listen` is the address
 /// where it listens if there is no predecessor.
-async fn start_in_folder(
+pub async fn start_in_folder(
     folder: &Path,
     endpoints: &[String],
     listen: Option<SocketAddr>,
@@ -53,7 +53,7 @@
     send_request(admin, &format!("{command} HTTP/1.1\r\nHost: x\r\n\r\n")).await
 }
 
-async fn wait_until_healthy(initiator: &RunningInitiator) {
+pub async fn wait_until_healthy(initiator: &RunningInitiator) {
     while send_admin_command(initiator, "GET /healthcheck").await != "200 close" {
         tokio::time::sleep(Duration::from_millis(1)).await;
     }
--- a/tests/network/http.rs
+++ b/tests/network/http.rs
@@ -211,11 +211,12 @@
     });
 }
 
-// Two requests with the same id cannot be told apart at a target, so the second is rejected as invalid.
+// Two requests with the same id cannot be told apart at a target, so the second is rejected as invalid: while the first
+// is in flight, and after its client has left, since it may have run.
 #[test]
-fn a_duplicate_id_of_a_request_in_flight_is_rejected_and_not_forwarded() {
+fn a_duplicate_id_of_a_request_in_flight_or_left_behind_is_rejected_and_not_forwarded() {
     run_test(async {
-        let mut target = scripted_server(vec![Step::Silence, ok("again")]).await;
+        let mut target = scripted_server(vec![Step::Silence, ok("new")]).await;
         let initiator = start_initiator(&[endpoint_entry(target.addr, 0, "active")], None, None).await;
         let mut first = TcpStream::connect(initiator.http).await.expect("connected");
         first.write_all(request("view", "i1", 0, "").as_bytes()).await.expect("written");
@@ -223,7 +224,9 @@
         assert_eq!(send_request(initiator.http, &request("view", "i1", 0, "")).await, "400");
         drop(first);
         assert_eq!(receive_lines(&mut target, 1).await, "closed");
-        assert_eq!(send_request(initiator.http, &request("view", "i1", 0, "")).await, "200 again");
+        assert_eq!(send_request(initiator.http, &request("view", "i1", 0, "")).await, "400");
+        assert_eq!(send_request(initiator.http, &request("view", "i2", 0, "")).await, "200 new");
+        assert!(receive_lines(&mut target, 1).await.contains("i2"), "only the new id is forwarded");
     });
 }
 
--- a/tests/network/main.rs
+++ b/tests/network/main.rs
@@ -21,6 +21,7 @@
 mod processes;
 mod queued_requests;
 mod quota_exchange;
+mod repeated_ids;
 mod replay;
 mod routes;
 mod scale;
