Let connections to targets rest 25 ms, and those of targets that send surplus bytes 1 s

Cause: a connection was used again 10 ms after its last response, and what came after that look was taken for the next response. Nothing was concluded from surplus bytes for the target's other connections.

Change: the rest is 25 ms. A target on one of whose resting connections surplus bytes were seen is distrusted for a minute: its connections rest for 1 s. Connections are looked at every second too, so that it is noticed without a request. The protocol gives no way to tell a response's request, so a first surplus response later than the rest can still be taken for another's.

Tests surplus_responses (2), both seen failing without the change.

--- a/crates/http-exchange/src/connection.rs
+++ b/crates/http-exchange/src/connection.rs
@@ -22,6 +22,17 @@
 /// Most bytes of one read. A response occupies no more memory than this and what its reader buffers.
 const READ_BYTES: usize = 16 * 1024;
 
+/// What a server has done on an idle connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum IdleState {
+    /// Nothing.
+    Clean,
+    /// It has closed or reset the connection.
+    Closed,
+    /// It has sent bytes that no request asked for.
+    Surplus,
+}
+
 /// One connection to a server. Dropping it closes it.
 #[derive(Debug)]
 pub struct Connection {
@@ -94,10 +105,16 @@
         self.response_complete || self.unused
     }
 
-    /// Whether the server has neither closed the connection nor sent bytes that no request asked for.
-    pub(crate) fn is_clean(&self) -> bool {
-        let peeked = socket2::SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit(); 1]);
-        self.buffer.is_empty() && matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+    /// What the server has done on the connection since its last response.
+    pub(crate) fn idle_state(&self) -> IdleState {
+        if !self.buffer.is_empty() {
+            return IdleState::Surplus;
+        }
+        match socket2::SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit(); 1]) {
+            Ok(1..) => IdleState::Surplus,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => IdleState::Clean,
+            Ok(0) | Err(_) => IdleState::Closed,
+        }
     }
 
     /// Carries out one exchange. The response is buffered, and its body has at most `max_bytes`. Not cancel
--- a/crates/http-exchange/src/pool.rs
+++ b/crates/http-exchange/src/pool.rs
@@ -1,8 +1,8 @@
 //! The pool of idle connections to all servers, and the limit of open connections.
 
-use crate::connection::Connection;
+use crate::connection::{Connection, IdleState};
 use std::cell::{Cell, RefCell};
-use std::collections::{HashSet, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -14,6 +14,12 @@
 /// keep a descriptor.
 const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How long a connection to a server that sends surplus bytes is not reused after a response. They may come later than
+/// those that were noticed.
+const DISTRUSTED_SETTLE_TIME: Duration = Duration::from_secs(1);
+/// How long a server is distrusted after surplus bytes.
+const DISTRUST_TIME: Duration = Duration::from_secs(60);
+
 /// Counts a connection as open until it is dropped.
 #[derive(Debug)]
 pub(crate) struct OpenSlot(Rc<Cell<usize>>);
@@ -43,14 +49,39 @@
     fn age(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.since)
     }
+}
+
+/// Servers that have sent bytes that no request asked for, and until when each is distrusted.
+#[derive(Debug, Default)]
+struct DistrustedServers(HashMap<SocketAddr, Instant>);
+
+impl DistrustedServers {
+    fn record_surplus(&mut self, addr: SocketAddr, now: Instant) {
+        self.0.retain(|_, until| *until > now);
+        self.0.insert(addr, now + DISTRUST_TIME);
+    }
 
-    /// Whether the connection can carry a request: not idle for too long, not closed by its server, and
-    /// without unread bytes.
-    fn is_usable(&self, now: Instant, idle_timeout: Duration) -> bool {
-        self.age(now) < idle_timeout && self.connection.is_clean()
+    fn contains(&self, addr: SocketAddr, now: Instant) -> bool {
+        self.0.get(&addr).is_some_and(|until| *until > now)
     }
 }
 
+/// Whether a connection can carry a request: not idle for too long, not closed by its server, and without unread bytes.
+/// A server that has sent bytes that no request asked for is distrusted.
+fn is_usable(idle: &Idle, now: Instant, idle_timeout: Duration, distrusted: &mut DistrustedServers) -> bool {
+    let state = idle.connection.idle_state();
+    if state == IdleState::Surplus {
+        distrusted.record_surplus(idle.connection.addr(), now);
+    }
+    state == IdleState::Clean && idle.age(now) < idle_timeout
+}
+
+/// Closes the idle connections that cannot carry a request.
+fn close_unusable(idle: &mut VecDeque<Idle>, distrusted: &mut DistrustedServers, idle_timeout: Duration) {
+    let now = Instant::now();
+    idle.retain(|idle| is_usable(idle, now, idle_timeout, distrusted));
+}
+
 /// The pool of idle connections to all servers, and the count of open ones. Clones share one pool.
 #[derive(Clone, Debug)]
 pub struct ConnectionPool {
@@ -65,6 +96,8 @@
     open: Rc<Cell<usize>>,
     /// Idle connections, the oldest first.
     idle: Rc<RefCell<VecDeque<Idle>>>,
+    /// Servers whose connections rest for longer after a response.
+    distrusted: Rc<RefCell<DistrustedServers>>,
     /// Servers whose connections are closed as soon as they carry no request.
     suspended: Rc<RefCell<HashSet<SocketAddr>>>,
 }
@@ -86,6 +119,7 @@
             settle_time,
             open: Rc::default(),
             idle: Rc::default(),
+            distrusted: Rc::default(),
             suspended: Rc::default(),
         }
     }
@@ -93,13 +127,12 @@
     /// Closes connections that have been idle for too long or were closed by their server, until the pool is
     /// dropped.
     pub async fn close_expired(self) {
-        let idle = Rc::downgrade(&self.idle);
+        let (idle, distrusted) = (Rc::downgrade(&self.idle), Rc::downgrade(&self.distrusted));
         let idle_timeout = self.idle_timeout;
         drop(self);
-        while let Some(idle) = idle.upgrade() {
-            let now = Instant::now();
-            idle.borrow_mut().retain(|idle| idle.is_usable(now, idle_timeout));
-            drop(idle);
+        while let (Some(idle), Some(distrusted)) = (idle.upgrade(), distrusted.upgrade()) {
+            close_unusable(&mut idle.borrow_mut(), &mut distrusted.borrow_mut(), idle_timeout);
+            drop((idle, distrusted));
             tokio::time::sleep(EXPIRY_CHECK_INTERVAL).await;
         }
     }
@@ -125,12 +158,13 @@
     fn take_idle(&self, addr: SocketAddr) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
+        let mut distrusted = self.distrusted.borrow_mut();
         loop {
-            let found = idle
-                .iter()
-                .rposition(|idle| idle.connection.addr() == addr && idle.age(now) >= self.settle_time)?;
+            let rest = if distrusted.contains(addr, now) { DISTRUSTED_SETTLE_TIME } else { self.settle_time };
+            let has_settled = |idle: &Idle| idle.connection.addr() == addr && idle.age(now) >= rest;
+            let found = idle.iter().rposition(has_settled)?;
             let candidate = idle.remove(found)?;
-            if candidate.is_usable(now, self.idle_timeout) {
+            if is_usable(&candidate, now, self.idle_timeout, &mut distrusted) {
                 return Some(candidate.connection);
             }
         }
--- a/src/initiator/targets.rs
+++ b/src/initiator/targets.rs
@@ -19,8 +19,8 @@
 const MAX_HOLD: Duration = Duration::from_millis(200);
 
 /// How long a connection to a target is not reused after a response. Surplus bytes that a target sends after
-/// the response arrive within this time and are noticed.
-const CONNECTION_REST: Duration = Duration::from_millis(10);
+/// the response arrive within this time and are noticed: the pages speak of some milliseconds.
+const CONNECTION_REST: Duration = Duration::from_millis(25);
 
 /// The connections to HTTP targets, and the descriptor budget that they share with clients.
 pub struct TargetConnections {
--- a/tests/network/main.rs
+++ b/tests/network/main.rs
@@ -30,4 +30,5 @@
 mod stalled_uploads;
 mod startup;
 mod subset;
+mod surplus_responses;
 mod truncated_responses;
