Reserve the memory of iSCSI-style writes from their command on

Cause: the data of a write was in no budget.

Change: a write reserves all of its data from the memory for bodies with its command, until its request has ended. Without memory it is refused with TASK SET FULL and advice when to come again.

--- a/src/initiator/run.rs
+++ b/src/initiator/run.rs
@@ -43,6 +43,7 @@
                 blocks_per_unit: iscsi.blocks_per_unit,
                 ending: ending.subscribe(),
                 phase: self.phase.subscribe(),
+                bodies: self.memory.memory.bodies.clone(),
                 max_sessions: Rc::clone(&self.budget.max_sessions),
                 open_sessions: Rc::clone(&sessions),
             };
--- a/src/net/budget/memory.rs
+++ b/src/net/budget/memory.rs
@@ -1,6 +1,7 @@
 //! Budgets of memory: how many bytes one kind of content may take up in all requests together.
 
 use crate::config::Limits;
+use bytes::Bytes;
 use std::fmt;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -136,6 +137,27 @@
     }
 }
 
+impl MemoryReservation {
+    /// A copy of the content that keeps the memory reserved until its last reference is dropped. It takes no more than its
+    /// length, while what was read may refer to a larger buffer.
+    pub fn hold(self, content: impl AsRef<[u8]>) -> Bytes {
+        Bytes::from_owner(ReservedContent { content: content.as_ref().into(), memory: self })
+    }
+}
+
+/// Content with the memory that is reserved for it.
+struct ReservedContent {
+    content: Box<[u8]>,
+    #[expect(dead_code, reason = "held for its drop")]
+    memory: MemoryReservation,
+}
+
+impl AsRef<[u8]> for ReservedContent {
+    fn as_ref(&self) -> &[u8] {
+        &self.content
+    }
+}
+
 impl Drop for MemoryReservation {
     fn drop(&mut self) {
         self.budget.release(self.bytes);
--- a/src/net/http/response_stream.rs
+++ b/src/net/http/response_stream.rs
@@ -2,7 +2,7 @@
 
 use super::target::TargetTransport;
 use crate::core::{BodyStream, IncompleteBody, MAX_BUFFERED_BODY, ResponseBody, STREAMED_CHUNKS};
-use crate::net::budget::{MemoryBudget, MemoryReservation};
+use crate::net::budget::MemoryBudget;
 use actix_http::header::CONTENT_LENGTH;
 use actix_http::{ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
@@ -24,25 +24,6 @@
 /// clients that do not read leave memory for others.
 const PIECES_IN_AVAILABLE_MEMORY: usize = 64;
 
-/// Content with the memory that is reserved for it, which is released with the last reference to the content.
-struct ReservedContent {
-    content: Box<[u8]>,
-    #[expect(dead_code, reason = "held for its drop")]
-    memory: MemoryReservation,
-}
-
-impl AsRef<[u8]> for ReservedContent {
-    fn as_ref(&self) -> &[u8] {
-        &self.content
-    }
-}
-
-/// A copy of the content that keeps its memory reserved and takes no more than that: a chunk that was read may refer to
-/// a larger buffer.
-fn reserved(content: impl AsRef<[u8]>, memory: MemoryReservation) -> Bytes {
-    Bytes::from_owner(ReservedContent { content: content.as_ref().into(), memory })
-}
-
 /// How long the response of an attempt is waited for.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ResponsePatience {
@@ -109,7 +90,7 @@
                     return Ok(stream_content(
                         transport,
                         connection,
-                        reserved(buffered, memory),
+                        memory.hold(buffered),
                         length,
                         patience,
                     ));
@@ -124,11 +105,11 @@
         // Without memory for all of it, the client gets what there is.
         let fits = memory.try_resize(buffered.len());
         if is_long || slow || !fits || buffered.len() > MAX_BUFFERED_BODY {
-            return Ok(stream_content(transport, connection, reserved(buffered, memory), length, patience));
+            return Ok(stream_content(transport, connection, memory.hold(buffered), length, patience));
         }
     }
     transport.connections.check_in(connection);
-    Ok(ResponseBody::Buffered(reserved(buffered, memory)))
+    Ok(ResponseBody::Buffered(memory.hold(buffered)))
 }
 
 /// The length in bytes that a response's head declares for its body, if any.
@@ -208,7 +189,7 @@
         Ok(chunk.map(|chunk| {
             let mut memory = self.memory.reservation();
             memory.resize(chunk.len());
-            reserved(chunk, memory)
+            memory.hold(chunk)
         }))
     }
 
--- a/src/net/iscsi/front/commands.rs
+++ b/src/net/iscsi/front/commands.rs
@@ -4,8 +4,9 @@
 use super::session::Session;
 use super::tasks::{CompletedTask, PartialWrite, Task, overdue_writes};
 use crate::core::{Protocol, Request, RequestOrigin};
+use crate::net::budget::MemoryReservation;
 use crate::net::iscsi::ABORT_TASK;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::future::{AbortHandle, Abortable, LocalBoxFuture};
 use rowanglade_iscsi::pdu::HEADER_BYTES;
 use rowanglade_iscsi::scsi::{self, Command, Sense};
@@ -16,6 +17,8 @@
 
 /// Retry-After of a command beyond the command window of its session.
 const SESSION_FULL_RETRY_AFTER: Duration = Duration::from_millis(100);
+/// Retry-After of a write for whose data no memory is left.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// The most bytes that a command transfers.
 const MAX_TRANSFER_BYTES: u64 = MAX_SEGMENT_BYTES as u64;
 
@@ -109,7 +112,7 @@
             self.tasks.remove(&itt);
             self.send_check_condition(itt, scsi::DATA_PHASE_ERROR);
         } else if complete && let Some(Task::ReceivingData(write)) = self.tasks.remove(&itt) {
-            self.submit(itt, write.lun, write.command, None, write.data.freeze());
+            self.submit(itt, write.lun, write.command, None, write.memory.hold(write.data));
         }
     }
 
@@ -139,20 +142,37 @@
             Ok((command, _)) if !command.write => {
                 self.submit(itt, pdu.lun, command, Some(pdu.length), Bytes::new());
             }
-            Ok((command, _)) if pdu.data.len() == pdu.length as usize => {
-                self.submit(itt, pdu.lun, command, None, pdu.data);
-            }
-            Ok((command, deadline)) => self.request_data(pdu, command, deadline),
+            Ok((command, deadline)) => self.start_write(pdu, command, deadline),
         }
         Ok(())
     }
 
+    /// Reserves the memory of a write's data, and submits the write or requests the rest of the data.
+    fn start_write(&mut self, pdu: CommandPdu, command: Command, deadline: Duration) {
+        let mut memory = self.front.bodies.reservation();
+        if !memory.try_grow(pdu.length as usize) {
+            self.send_status(pdu.itt, scsi::TASK_SET_FULL, NO_MEMORY_RETRY_AFTER, None);
+        } else if pdu.data.len() == pdu.length as usize {
+            self.submit(pdu.itt, pdu.lun, command, None, memory.hold(pdu.data));
+        } else {
+            self.request_data(pdu, command, deadline, memory);
+        }
+    }
+
     /// Requests the rest of a write's data with an R2T.
-    fn request_data(&mut self, pdu: CommandPdu, command: Command, deadline: Duration) {
-        let CommandPdu { lun, itt, length, data, .. } = pdu;
-        let offset = data.len() as u32;
+    fn request_data(
+        &mut self,
+        pdu: CommandPdu,
+        command: Command,
+        deadline: Duration,
+        memory: MemoryReservation,
+    ) {
+        let CommandPdu { lun, itt, length, data: immediate, .. } = pdu;
+        let offset = immediate.len() as u32;
         let deadline = Instant::now() + deadline;
-        let write = PartialWrite { lun, command, length, data: data.into(), deadline };
+        let mut data = BytesMut::with_capacity(length as usize);
+        data.extend_from_slice(&immediate);
+        let write = PartialWrite { lun, command, length, data, memory, deadline };
         self.tasks.insert(itt, Task::ReceivingData(write));
         let seq = self.sequence();
         self.out.push(&Pdu::R2t { lun, itt, ttt: itt, seq, r2t_sn: 0, offset, length: length - offset });
--- a/src/net/iscsi/front/mod.rs
+++ b/src/net/iscsi/front/mod.rs
@@ -10,6 +10,7 @@
 use crate::core::CoreHandle;
 use crate::net::Phase;
 use crate::net::accept::{AcceptFailures, pause};
+use crate::net::budget::MemoryBudget;
 use crate::net::close::{LINGER, close};
 use rowanglade_iscsi::PduReader;
 use rowanglade_iscsi::login;
@@ -57,6 +58,8 @@
     pub ending: watch::Receiver<bool>,
     /// The serving phase of this process: sessions are accepted while it serves.
     pub phase: watch::Receiver<Phase>,
+    /// The memory for the data of writes.
+    pub bodies: MemoryBudget,
     /// Sessions that may be open at once; further connections are closed.
     pub max_sessions: Rc<Cell<usize>>,
     /// Number of open sessions.
--- a/src/net/iscsi/front/tasks.rs
+++ b/src/net/iscsi/front/tasks.rs
@@ -1,6 +1,7 @@
 //! The open tasks of a session.
 
 use crate::core::{InvalidRequest, Response};
+use crate::net::budget::MemoryReservation;
 use bytes::BytesMut;
 use futures_util::future::AbortHandle;
 use rowanglade_iscsi::scsi::Command;
@@ -22,6 +23,8 @@
     /// Expected length of all its data, in bytes.
     pub(super) length: u32,
     pub(super) data: BytesMut,
+    /// The memory of its data, reserved for all of it.
+    pub(super) memory: MemoryReservation,
     /// When its data must be complete.
     pub(super) deadline: Instant,
 }
--- a/tests/network/main.rs
+++ b/tests/network/main.rs
@@ -12,6 +12,7 @@
 mod http;
 mod iscsi;
 mod iscsi_client;
+mod iscsi_memory;
 mod iscsi_request_ids;
 mod iscsi_session_ids;
 mod late_connections;
