--- a/crates/lab/src/memory/clients.rs
+++ b/crates/lab/src/memory/clients.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Declared length of a long body.
 const LONG_BODY_BYTES: usize = 32 << 20;
@@ -20,8 +20,12 @@
 const LONG_HEAD_BYTES: usize = 100_000;
 /// Requests that a flood sends at once.
 const FLOOD_REQUESTS: usize = 64;
-/// The pause before a client connects again.
-const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
+/// Fields of a head with many short ones, below the HTTP library's limit of 96.
+const SHORT_FIELDS: usize = 85;
+/// Bounds of the declared length of a body behind such a head.
+const SHORT_UPLOAD_BYTES: std::ops::Range<usize> = 70_000..400_000;
+/// Length of a piece of such a body.
+const UPLOAD_PIECE_BYTES: usize = 16 << 10;
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long a client waits for what an initiator owes it.
 const PATIENCE: Duration = Duration::from_secs(6);
@@ -47,11 +51,17 @@
     Flood,
     /// Opens a connection for each request.
     NewConnections,
+    /// Stops in the middle of a head of many short fields.
+    ManyFields,
+    /// Sends a head of many short fields, and stops in the middle of the body.
+    ManyFieldsStoppedUpload,
+    /// Sends a head of many short fields, and the body in pieces.
+    ManyFieldsSlowUpload,
 }
 
 impl Behaviour {
-    /// All behaviours that a seed draws from.
-    pub const ALL: [Behaviour; 9] = [
+    /// The behaviours of which a client has one, for crowds of one kind.
+    pub const SINGLE: [Behaviour; 9] = [
         Behaviour::Idle,
         Behaviour::HalfHead,
         Behaviour::LongHead,
@@ -62,6 +72,19 @@
         Behaviour::Flood,
         Behaviour::NewConnections,
     ];
+
+    /// The behaviours that hold memory of several kinds at once or at length, for mixed crowds.
+    pub const HOLDING: [Behaviour; 9] = [
+        Behaviour::ManyFields,
+        Behaviour::ManyFieldsStoppedUpload,
+        Behaviour::ManyFieldsSlowUpload,
+        Behaviour::LongHead,
+        Behaviour::StoppedUpload,
+        Behaviour::SlowUpload,
+        Behaviour::SlowReader,
+        Behaviour::StoppedReader,
+        Behaviour::Flood,
+    ];
 }
 
 /// An address to which clients connect; it changes when the process is restarted. `None`: no process serves.
@@ -73,6 +96,12 @@
     /// Number of shards, of which the odd ones answer reads at length.
     pub shards: u64,
     pub name: String,
+    /// The pause before a client connects again.
+    pub reconnect_pause: Duration,
+    /// All clients close their connections together this often; `None`: they never do.
+    pub wave_period: Option<Duration>,
+    /// When the clients began.
+    pub started_at: Instant,
 }
 
 impl Crowd {
@@ -84,12 +113,20 @@
             {
                 let id = format!("{}-{behaviour:?}-{number}-{attempt}", self.name);
                 // A connection that the initiator closes or that breaks is replaced.
-                let _ = self.behave(stream, behaviour, number, &id).await;
+                let _ = timeout(self.rest_of_wave(), self.behave(stream, behaviour, number, &id)).await;
             }
-            sleep(RECONNECT_PAUSE).await;
+            sleep(self.reconnect_pause).await;
         }
     }
 
+    /// How long the connections of this wave stay open.
+    fn rest_of_wave(&self) -> Duration {
+        let Some(period) = self.wave_period else { return Duration::MAX };
+        let elapsed = self.started_at.elapsed();
+        let waves = elapsed.as_millis() / period.as_millis().max(1);
+        period * (waves as u32 + 1) - elapsed
+    }
+
     async fn behave(
         &self,
         mut stream: TcpStream,
@@ -149,6 +186,24 @@
                 timeout(PATIENCE, stream.read(&mut response)).await??;
                 Ok(())
             }
+            Behaviour::ManyFields => {
+                let head = write_head(id, even_shard, LONG_BODY_BYTES).replace("\r\n\r\n", "\r\n");
+                stream.write_all((head + &short_fields()).as_bytes()).await?;
+                wait_for_close(&mut stream).await
+            }
+            Behaviour::ManyFieldsStoppedUpload | Behaviour::ManyFieldsSlowUpload => {
+                let length = short_upload_bytes(number);
+                stream.write_all(head_of_many_fields(id, even_shard, length).as_bytes()).await?;
+                if behaviour == Behaviour::ManyFieldsStoppedUpload {
+                    stream.write_all(&vec![b'*'; length / 2]).await?;
+                    return wait_for_close(&mut stream).await;
+                }
+                for _ in 0..length / UPLOAD_PIECE_BYTES {
+                    stream.write_all(&[b'*'; UPLOAD_PIECE_BYTES]).await?;
+                    sleep(SLOW_TICK).await;
+                }
+                wait_for_close(&mut stream).await
+            }
         }
     }
 }
@@ -159,7 +214,21 @@
     Ok(())
 }
 
-fn read_head(id: &str, shard: u64) -> String {
+fn short_fields() -> String {
+    (0..SHORT_FIELDS).map(|number| format!("X-F{number}: {number}\r\n")).collect()
+}
+
+fn head_of_many_fields(id: &str, shard: u64, length: usize) -> String {
+    write_head(id, shard, length).replace("\r\n\r\n", &format!("\r\n{}\r\n", short_fields()))
+}
+
+/// The length of a client's body, spread evenly over the clients.
+fn short_upload_bytes(number: u64) -> usize {
+    const STEP_BYTES: usize = 37_123;
+    SHORT_UPLOAD_BYTES.start + number as usize * STEP_BYTES % SHORT_UPLOAD_BYTES.len()
+}
+
+pub fn read_head(id: &str, shard: u64) -> String {
     format!("{}\r\n", head("GET", "view", id, shard, 1_400))
 }
 
--- a/crates/lab/src/memory/mod.rs
+++ b/crates/lab/src/memory/mod.rs
@@ -5,7 +5,10 @@
 //! exceed its memory limit. For each process the run prints how it ended and its memory by kind of page.
 
 mod clients;
+mod core_load;
+mod mixes;
 mod play;
+mod sound;
 mod target;
 
 use crate::experiment::{Experiment, Runner, Seeds};
@@ -27,6 +30,7 @@
     let alone = "memory of a process beside one kind of clients that hold it, for each kind";
     vec![
         Experiment { name: "memory", about, runner: Runner::Seeded(memory) },
+        Experiment { name: "memory-mixes", about: mixes::ABOUT, runner: Runner::Seeded(mixes::run) },
         Experiment { name: "memory-by-client", about: alone, runner: Runner::Plain(memory_by_client) },
     ]
 }
@@ -34,7 +38,7 @@
 fn memory_by_client() -> Result<Outcome, Failure> {
     let mut out = Outcome::default();
     let mut holds = true;
-    for behaviour in Behaviour::ALL {
+    for behaviour in Behaviour::SINGLE {
         let plan = MemoryPlan::alone(behaviour, CLIENTS_ALONE);
         let results = block_on(play(&plan))?;
         report(&plan, &results);
--- a/crates/lab/src/memory/play.rs
+++ b/crates/lab/src/memory/play.rs
@@ -1,6 +1,8 @@
 //! Plays a memory plan with real processes.
 
 use super::clients::{Address, Behaviour, Crowd};
+use super::core_load::SharedCore;
+use super::sound::{SoundClients, SoundRequests};
 use super::target;
 use crate::failure::Failure;
 use crate::initiators::ZONE;
@@ -27,6 +29,12 @@
 const LIMITS: [(usize, usize); 4] = [(192, 1_024), (96, 512), (64, 1_024), (32, 1_024)];
 /// Clients of one process, in all.
 const MAX_CLIENTS: usize = 1_500;
+/// The pause before a client of a crowd of one kind connects again.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
+/// Share of the memory limit that the anonymous memory may take.
+const MAX_ANONYMOUS_SHARE: f64 = 0.85;
+/// Least share of the sound requests that are served.
+const MIN_SERVED_SHARE: f64 = 0.9;
 
 /// What a seed plays.
 #[derive(Clone, Debug)]
@@ -40,6 +48,23 @@
     pub duration: Duration,
     /// When the process of each initiator is killed.
     pub kills: Vec<Duration>,
+    /// How the clients come, and what else there is.
+    pub pressure: Pressure,
+}
+
+/// How the clients of a process come, and what shares its machine.
+#[derive(Clone, Debug, Default)]
+pub struct Pressure {
+    /// The pause before a client connects again; `None`: [`RECONNECT_PAUSE`].
+    pub reconnect_pause: Option<Duration>,
+    /// All clients close their connections together this often; `None`: they never do.
+    pub wave_period: Option<Duration>,
+    /// How long each process is stopped right after its start, while clients connect.
+    pub stopped_at_start: Option<Duration>,
+    /// Whether the process shares its core with busy threads.
+    pub shared_core: bool,
+    /// Whether clients send sound short requests beside the crowd.
+    pub sound_clients: bool,
 }
 
 impl MemoryPlan {
@@ -54,6 +79,7 @@
             crowds: vec![(behaviour, clients)],
             duration,
             kills: vec![duration / 2],
+            pressure: Pressure::default(),
         }
     }
 
@@ -63,14 +89,22 @@
         let (memory_mb, sockets) = *LIMITS.choose(&mut random).unwrap_or(&LIMITS[0]);
         let count = random.random_range(1..=3);
         let behaviours: Vec<Behaviour> =
-            Behaviour::ALL.choose_multiple(&mut random, count).copied().collect();
+            Behaviour::SINGLE.choose_multiple(&mut random, count).copied().collect();
         let crowds = behaviours
             .into_iter()
             .map(|behaviour| (behaviour, random.random_range(100..=MAX_CLIENTS / count)))
             .collect();
         let kills =
             (0..PROCESSES).map(|_| Duration::from_millis(random.random_range(1_000..7_000))).collect();
-        MemoryPlan { seed, memory_mb, sockets, crowds, duration: Duration::from_secs(10), kills }
+        MemoryPlan {
+            seed,
+            memory_mb,
+            sockets,
+            crowds,
+            duration: Duration::from_secs(10),
+            kills,
+            pressure: Pressure::default(),
+        }
     }
 }
 
@@ -92,6 +126,8 @@
     peak: PeakMemory,
     /// The last line in which the process told its memory by part.
     memory_line: Option<String>,
+    /// The sound requests beside the crowd; `None`: there were none.
+    sound: Option<SoundRequests>,
 }
 
 impl ProcessResult {
@@ -100,10 +136,27 @@
         self.peak.resident_bytes as f64 / (self.limit_mb << 20) as f64
     }
 
+    /// The largest anonymous memory as a share of the limit.
+    pub fn anonymous_share(&self) -> f64 {
+        self.peak.anonymous_bytes as f64 / (self.limit_mb << 20) as f64
+    }
+
+    /// The share of the sound requests that were served; 1 without any.
+    pub fn served_share(&self) -> f64 {
+        self.sound.as_ref().map_or(1.0, SoundRequests::served_share)
+    }
+
     /// Whether it neither ended by itself nor exceeded its memory limit.
     pub fn holds(&self) -> bool {
         self.end == End::Killed && self.share_of_limit() <= 1.0
     }
+
+    /// Whether also its anonymous memory held, and the sound requests were served.
+    pub fn holds_beside_sound_requests(&self) -> bool {
+        self.holds()
+            && self.anonymous_share() <= MAX_ANONYMOUS_SHARE
+            && self.served_share() >= MIN_SERVED_SHARE
+    }
 }
 
 impl fmt::Display for ProcessResult {
@@ -118,7 +171,10 @@
             megabytes(self.peak.anonymous_bytes),
             self.peak.descriptors,
         )?;
-        if let Some(line) = self.memory_line.as_ref().filter(|_| !self.holds()) {
+        if let Some(sound) = &self.sound {
+            write!(f, "; sound requests: {sound}")?;
+        }
+        if let Some(line) = self.memory_line.as_ref().filter(|_| !self.holds_beside_sound_requests()) {
             write!(f, "\n      {line}")?;
         }
         if let End::ByItself(status, log) = &self.end {
@@ -169,8 +225,14 @@
 }
 
 fn start_clients(plan: &MemoryPlan, number: usize, address: &Address) -> Vec<tokio::task::JoinHandle<()>> {
-    let crowd =
-        Rc::new(Crowd { address: Rc::clone(address), shards: TARGETS as u64, name: format!("n{number}") });
+    let crowd = Rc::new(Crowd {
+        address: Rc::clone(address),
+        shards: TARGETS as u64,
+        name: format!("n{number}"),
+        reconnect_pause: plan.pressure.reconnect_pause.unwrap_or(RECONNECT_PAUSE),
+        wave_period: plan.pressure.wave_period,
+        started_at: Instant::now(),
+    });
     let clients =
         plan.crowds.iter().flat_map(|(behaviour, count)| (0..*count).map(move |client| (*behaviour, client)));
     clients
@@ -201,6 +263,14 @@
         env: Vec::new(),
     };
     let mut daemon = tokio::task::spawn_blocking(move || Daemon::start(&daemon_plan)).await??;
+    let _shared_core = plan.pressure.shared_core.then(|| SharedCore::with(daemon.pid()));
+    let sound = plan.pressure.sound_clients.then(|| SoundClients::start(daemon.http, TARGETS as u64));
+    if let Some(pause) = plan.pressure.stopped_at_start {
+        daemon.signal(Signal::SIGSTOP)?;
+        address.set(Some(daemon.http));
+        sleep(pause).await;
+        daemon.signal(Signal::SIGCONT)?;
+    }
     address.set(Some(daemon.http));
     let mut peak = PeakMemory::default();
     let mut end = End::Killed;
@@ -213,8 +283,9 @@
         sleep_until((Instant::now() + WATCH_PERIOD).min(kill_at)).await;
     }
     address.set(None);
+    let sound = sound.map(SoundClients::stop);
     // Fails if the process has ended by itself.
     let _ = daemon.signal(Signal::SIGKILL);
     let memory_line = daemon.log().into_iter().rfind(|line| line.contains("memory by part"));
-    Ok(ProcessResult { name: format!("n{number}"), limit_mb: plan.memory_mb, end, peak, memory_line })
+    Ok(ProcessResult { name: format!("n{number}"), limit_mb: plan.memory_mb, end, peak, memory_line, sound })
 }
