Log what the allocator holds beside the memory by part

The line told what the budgets count and what the system counts, and nothing of the difference. It now begins with the bytes that are allocated and those that the allocator keeps free, which tells fragments from memory in no budget.

--- a/crates/allocator/src/lib.rs
+++ b/crates/allocator/src/lib.rs
@@ -32,6 +32,29 @@
     }
 }
 
+/// What the allocator holds, in bytes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct HeapUsage {
+    /// Allocations that are in use, with the allocator's own part of each.
+    pub allocated: usize,
+    /// Memory between them that is free and was not returned to the system, or was returned page by page.
+    pub free: usize,
+}
+
+/// What the allocator holds. It walks over all that is free, so it is for the log and not for each request.
+#[cfg(all(target_os = "linux", target_env = "gnu"))]
+pub fn heap_usage() -> HeapUsage {
+    // SAFETY: mallinfo2 may be called at any time; it reads the allocator's figures under its own lock.
+    let info = unsafe { libc::mallinfo2() };
+    HeapUsage { allocated: info.uordblks + info.hblkhd, free: info.fordblks }
+}
+
+/// Nothing is known with this C library.
+#[cfg(not(all(target_os = "linux", target_env = "gnu")))]
+pub fn heap_usage() -> HeapUsage {
+    HeapUsage::default()
+}
+
 /// Does nothing with this C library.
 #[cfg(not(all(target_os = "linux", target_env = "gnu")))]
 pub fn keep_little_free_memory() {}
--- a/src/initiator/memory_watch.rs
+++ b/src/initiator/memory_watch.rs
@@ -5,7 +5,7 @@
 
 use crate::core::CoreHandle;
 use crate::net::{DescriptorBudget, MemoryBudgets};
-use rowanglade_allocator::release_free_memory;
+use rowanglade_allocator::{heap_usage, release_free_memory};
 use std::convert::Infallible;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -90,7 +90,10 @@
     fn log_parts(&self, memory: ResidentMemory) {
         let limits = self.budget.limits;
         let clients = self.budget.clients.usage();
+        let heap = heap_usage();
         tracing::info!(
+            allocated = heap.allocated,
+            free = heap.free,
             resident = memory.total,
             anonymous = memory.anonymous,
             limit = limits.memory_bytes(),
