Ask at each admission what the process really takes

Cause, by class: the budgets count what clients send. Buffers of libraries, tasks, fragments and what the allocator keeps are in none, and nothing that admits asked for them; memory was looked at four times a second, to log.

New content is admitted below 75 % of the limit, more of a content below 84 %, connections and short requests below 92 %; anonymous memory counts against 0.85 of the limit. Before it refuses, it returns free memory to the system. What gives way: connections without a request, then uploads whose clients have sent nothing for a second (503; their last byte has not arrived, so no target has run them). Streams are not touched. Uploads that have not arrived whole hold half of the connections at most. Connections that are being closed count for their descriptor only. The log tells the memory again at each 5 % from 75 % on, what no budget explains first, and how many gave way and why.

--- a/src/initiator.rs
+++ b/src/initiator.rs
@@ -15,7 +15,7 @@
 use crate::core::{self, AccessLog, Clock, Core, CoreDependencies, CoreHandle, Message, QuotaPeers};
 use crate::handover::{CoreUpdates, HandoverControls, Welcome};
 use crate::net::drain_gossip::DrainGossipLink;
-use crate::net::{DescriptorBudget, Phase, admin, http, quota_exchange};
+use crate::net::{DescriptorBudget, MemoryBound, Phase, admin, http, quota_exchange};
 use channels::CoreChannels;
 use handover::{HandoverSetup, HandoverTask};
 use memory_watch::MemoryWatch;
@@ -62,7 +62,8 @@
             _ = interrupt.recv() => {}
         }
     };
-    let initiator = Initiator::start(config).await?;
+    let bound = MemoryBound::of_process(&config.limits);
+    let initiator = Initiator::start_within(bound, config).await?;
     let reloads = initiator.reloads();
     let (core, memory) = (initiator.core.clone(), initiator.memory.clone());
     actix_rt::spawn(async move {
@@ -95,12 +96,21 @@
 }
 
 impl Initiator {
-    /// Starts the core, discovery and the listeners.
+    /// Starts the core, discovery and the listeners. The process may take more memory than the limits of the
+    /// configuration: it need not be this initiator's alone.
+    ///
+    /// # Errors
+    /// As [`Initiator::start_within`].
+    pub async fn start(config: Config) -> Result<Initiator, Error> {
+        Initiator::start_within(MemoryBound::unlimited(), config).await
+    }
+
+    /// Starts the core, discovery and the listeners, in a process whose memory has this bound.
     ///
     /// # Errors
     /// The configuration is invalid, a socket cannot be opened, or another process of this initiator serves
     /// and cannot hand over to this one.
-    pub async fn start(mut config: Config) -> Result<Initiator, Error> {
+    pub async fn start_within(bound: MemoryBound, mut config: Config) -> Result<Initiator, Error> {
         let (scheduler, names) = config.build_scheduler().map_err(Error::Config)?;
         let HandoverSetup { actor, mut listeners, welcome } =
             HandoverSetup::contact_predecessor(&config).await?;
@@ -109,7 +119,7 @@
         let mut sockets = Sockets::open(&mut config, &mut listeners).await?;
         let phase = Rc::new(watch::Sender::new(Phase::Preparing));
 
-        let connections = TargetConnections::new(&config, &sockets);
+        let connections = TargetConnections::new(&config, &sockets, bound);
         let budget = connections.budget;
         if let Some(welcome) = &welcome {
             budget.reserve_for_other_process(welcome.share.descriptors);
--- a/src/initiator/memory_watch.rs
+++ b/src/initiator/memory_watch.rs
@@ -4,7 +4,7 @@
 //! memory.
 
 use crate::core::CoreHandle;
-use crate::net::{DescriptorBudget, MemoryBudgets};
+use crate::net::budget::{DescriptorBudget, MemoryBudgets, ResidentMemory};
 use rowanglade_allocator::{heap_usage, release_free_memory};
 use std::convert::Infallible;
 use std::time::Duration;
@@ -14,12 +14,13 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Share of the limit from which on free memory is returned to the system, in percent.
 const RELEASE_PERCENT: usize = 33;
-/// At least this long passes between two warnings.
+/// Share of the limit from which on idle connections to targets are closed, in percent.
+const CLOSE_IDLE_PERCENT: usize = 84;
+/// At least this long passes between two warnings, unless the memory grows by a step.
 const WARNING_INTERVAL: Duration = Duration::from_secs(10);
-/// Share of the limit from which on a warning is logged, in percent.
+/// Share of the limit from which on a warning is logged, and the step by which it grows until the next, in percent.
 const WARNING_PERCENT: usize = 75;
-/// File in which Linux tells of the process's memory.
-const STATUS_FILE: &str = "/proc/self/status";
+const WARNING_STEP_PERCENT: usize = 5;
 
 /// Knows what may hold memory.
 #[derive(Clone, Debug)]
@@ -32,70 +33,46 @@
     pub core: CoreHandle,
 }
 
-/// The resident memory of the process in bytes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct ResidentMemory {
-    total: usize,
-    /// Without mapped files.
-    anonymous: usize,
-}
-
-impl ResidentMemory {
-    /// `None`: the system does not tell.
-    fn now() -> Option<ResidentMemory> {
-        let status = std::fs::read_to_string(STATUS_FILE).ok()?;
-        Some(ResidentMemory {
-            total: status_bytes(&status, "VmRSS:")?,
-            anonymous: status_bytes(&status, "RssAnon:")?,
-        })
-    }
-}
-
-/// A figure of the status file in bytes; it tells KiB.
-fn status_bytes(status: &str, key: &str) -> Option<usize> {
-    let line = status.lines().find_map(|line| line.strip_prefix(key))?;
-    let kib: usize = line.trim().split(' ').next()?.parse().ok()?;
-    Some(kib << 10)
-}
-
 impl MemoryWatch {
     /// Returns free memory to the system, and logs a warning while the memory is close to its limit. Runs until dropped.
     pub async fn run(self) -> Infallible {
-        let limit = self.budget.limits.memory_bytes();
-        let mut warned_at: Option<Instant> = None;
+        let mut warnings = Warnings::default();
         loop {
             sleep(CHECK_INTERVAL).await;
-            let Some(memory) = ResidentMemory::now() else { continue };
-            if memory.total >= limit / 100 * RELEASE_PERCENT {
+            // Heads that were refused memory by the bound, and not by their budget, are woken by nothing else.
+            self.memory.heads.wake_waiting();
+            let Some(usage) = self.memory.bound.usage() else { continue };
+            let percent = usage.percent_of(self.budget.limits.memory_bytes());
+            if percent >= RELEASE_PERCENT {
                 release_free_memory();
             }
-            if memory.total < limit / 100 * WARNING_PERCENT {
-                continue;
+            if percent >= CLOSE_IDLE_PERCENT {
+                self.budget.targets.close_idle();
             }
-            if warned_at.is_none_or(|at| at.elapsed() >= WARNING_INTERVAL) {
-                warned_at = Some(Instant::now());
-                tracing::warn!("memory is close to its limit");
-                self.log_parts(memory);
+            if warnings.is_due(percent) {
+                tracing::warn!(percent, "memory is close to its limit");
+                self.log_parts(usage);
             }
         }
     }
 
     /// Logs the memory and what may hold it.
     pub fn log(&self) {
-        if let Some(memory) = ResidentMemory::now() {
-            self.log_parts(memory);
-        }
+        self.log_parts(self.memory.bound.usage().unwrap_or_default());
     }
 
-    fn log_parts(&self, memory: ResidentMemory) {
+    fn log_parts(&self, usage: ResidentMemory) {
         let limits = self.budget.limits;
         let clients = self.budget.clients.usage();
         let heap = heap_usage();
+        let shed = self.budget.clients.shed_counters();
+        let counted = self.memory.bodies.used() + self.memory.responses.used() + self.memory.heads.used();
         tracing::info!(
+            unexplained = usage.anonymous.saturating_sub(counted + clients.kept_bytes),
             allocated = heap.allocated,
             free = heap.free,
-            resident = memory.total,
-            anonymous = memory.anonymous,
+            resident = usage.total,
+            anonymous = usage.anonymous,
             limit = limits.memory_bytes(),
             bodies = self.memory.bodies.used(),
             body_limit = self.memory.bodies.total(),
@@ -109,7 +86,35 @@
             kept_bytes = clients.kept_bytes,
             target_connections = self.budget.targets.open_connections(),
             open_requests = self.core.open_requests(),
+            refused_by_bound = self.memory.bound.refused(),
+            evicted = shed.evicted,
+            shed_uploads = shed.uploads,
+            rejected_connections = shed.rejected,
+            refused_uploads = shed.refused_uploads,
             "memory by part"
         );
     }
 }
+
+/// When the next warning is due.
+#[derive(Debug, Default)]
+struct Warnings {
+    /// The time of the last warning, and the share of the limit that it told, in percent.
+    last: Option<(Instant, usize)>,
+}
+
+impl Warnings {
+    /// Whether a warning is due at this share of the limit, in percent.
+    fn is_due(&mut self, percent: usize) -> bool {
+        if percent < WARNING_PERCENT {
+            return false;
+        }
+        let due = self.last.is_none_or(|(at, last_percent)| {
+            at.elapsed() >= WARNING_INTERVAL || percent >= last_percent + WARNING_STEP_PERCENT
+        });
+        if due {
+            self.last = Some((Instant::now(), percent));
+        }
+        due
+    }
+}
--- a/src/initiator/targets.rs
+++ b/src/initiator/targets.rs
@@ -4,7 +4,7 @@
 use crate::config::{Config, Iscsi, Portal};
 use crate::core::{Clock, Connect, CoreHandle, Endpoint, Message, Protocol};
 use crate::interface::{EndpointUpdateKind, TargetState};
-use crate::net::{DescriptorBudget, MemoryBudgets, OptionalParts, Reservations, http, iscsi};
+use crate::net::{DescriptorBudget, MemoryBound, MemoryBudgets, OptionalParts, Reservations, http, iscsi};
 use crate::settings::Settings;
 use std::time::Duration;
 
@@ -34,7 +34,7 @@
 
 impl TargetConnections {
     /// Creates an empty connection pool, and starts the task that closes its idle connections.
-    pub fn new(config: &Config, sockets: &Sockets) -> TargetConnections {
+    pub fn new(config: &Config, sockets: &Sockets, bound: MemoryBound) -> TargetConnections {
         let settings = &config.settings;
         let parts = OptionalParts {
             admin: sockets.admin.is_some(),
@@ -50,11 +50,12 @@
         let connections =
             http::ConnectionPool::new(reservations.targets, idle_timeout, stall_timeout, CONNECTION_REST);
         actix_rt::spawn(connections.clone().close_expired());
-        let memory = MemoryBudgets::of(&config.limits);
-        let clients = http::ConnectionTable::with_head_memory(
+        let memory = MemoryBudgets::of(&config.limits, bound);
+        let clients = http::ConnectionTable::with_memory(
             reservations.clients,
             reservations.idle_clients,
-            memory.heads.clone(),
+            memory.clone(),
+            config.limits.client_connections(),
         );
         let budget = DescriptorBudget::new(config.limits, parts, clients, connections.clone());
         let connect_timeout = settings.connect_timeout();
--- a/src/net/budget/memory.rs
+++ b/src/net/budget/memory.rs
@@ -1,5 +1,6 @@
 //! Budgets of memory: how many bytes one kind of content may take up in all requests together.
 
+use super::bound::{MemoryBound, MemoryUse};
 use crate::config::Limits;
 use bytes::Bytes;
 use std::fmt;
@@ -16,15 +17,28 @@
     pub responses: MemoryBudget,
     /// Long heads, and what clients send ahead of the responses.
     pub heads: MemoryBudget,
+    /// What the process really takes, whatever the budgets count.
+    pub bound: MemoryBound,
 }
 
 impl MemoryBudgets {
-    /// The budgets for the limits of the configuration.
-    pub fn of(limits: &Limits) -> MemoryBudgets {
+    /// Budgets without a limit, for tests of single parts.
+    pub fn unlimited() -> MemoryBudgets {
         MemoryBudgets {
-            bodies: MemoryBudget::new(limits.body_bytes()),
-            responses: MemoryBudget::new(limits.response_bytes()),
-            heads: MemoryBudget::new(limits.head_bytes()),
+            bodies: MemoryBudget::unlimited(),
+            responses: MemoryBudget::unlimited(),
+            heads: MemoryBudget::unlimited(),
+            bound: MemoryBound::unlimited(),
+        }
+    }
+
+    /// The budgets for the limits of the configuration, below the bound on the process.
+    pub fn of(limits: &Limits, bound: MemoryBound) -> MemoryBudgets {
+        MemoryBudgets {
+            bodies: MemoryBudget::below(bound.clone(), limits.body_bytes()),
+            responses: MemoryBudget::below(bound.clone(), limits.response_bytes()),
+            heads: MemoryBudget::below(bound.clone(), limits.head_bytes()),
+            bound,
         }
     }
 }
@@ -35,6 +49,7 @@
 
 struct State {
     total: usize,
+    bound: MemoryBound,
     /// Bytes that are taken, which may exceed the total by what cannot be refused.
     used: AtomicUsize,
     /// Wakes the tasks that wait for memory.
@@ -44,7 +59,23 @@
 impl MemoryBudget {
     /// A budget of `total` bytes.
     pub fn new(total: usize) -> MemoryBudget {
-        MemoryBudget(Arc::new(State { total, used: AtomicUsize::new(0), waiting: Mutex::default() }))
+        MemoryBudget::below(MemoryBound::unlimited(), total)
+    }
+
+    /// A budget of `total` bytes, of which more are granted only while the bound admits it.
+    pub fn below(bound: MemoryBound, total: usize) -> MemoryBudget {
+        MemoryBudget(Arc::new(State { total, bound, used: AtomicUsize::new(0), waiting: Mutex::default() }))
+    }
+
+    /// Whether there is memory for more of a content that was reserved before.
+    pub fn admits_more(&self) -> bool {
+        self.0.bound.admits(MemoryUse::MoreContent)
+    }
+
+    /// Wakes the tasks that wait for memory.
+    pub fn wake_waiting(&self) {
+        let waiting = std::mem::take(&mut *self.0.waiting.lock().unwrap_or_else(PoisonError::into_inner));
+        waiting.into_iter().for_each(Waker::wake);
     }
 
     /// A budget without a limit, for tests of single parts.
@@ -89,8 +120,7 @@
             return;
         }
         self.0.used.fetch_sub(bytes, Ordering::Relaxed);
-        let waiting = std::mem::take(&mut *self.0.waiting.lock().unwrap_or_else(PoisonError::into_inner));
-        waiting.into_iter().for_each(Waker::wake);
+        self.wake_waiting();
     }
 }
 
@@ -108,9 +138,14 @@
 }
 
 impl MemoryReservation {
+    /// Whether the process has memory for more of what was reserved: it is not resident before it is written to.
+    pub fn admits_more(&self) -> bool {
+        self.budget.admits_more()
+    }
+
     /// Reserves `bytes` more. Returns false, and reserves nothing, if they are not available.
     pub fn try_grow(&mut self, bytes: usize) -> bool {
-        let enough = bytes <= self.budget.available();
+        let enough = bytes <= self.budget.available() && self.budget.0.bound.admits(MemoryUse::NewContent);
         if enough {
             self.budget.take(bytes);
             self.bytes += bytes;
--- a/src/net/budget/mod.rs
+++ b/src/net/budget/mod.rs
@@ -3,9 +3,11 @@
 //! Descriptors that the process cannot work without are reserved first, whether or not they are in use.
 //! Clients, who may use up any number, receive a share of the rest.
 
+mod bound;
 mod memory;
 mod reservations;
 
+pub use bound::{MemoryBound, MemoryUse, ResidentMemory};
 pub use memory::{MemoryBudget, MemoryBudgets, MemoryReservation};
 pub use reservations::{DISCOVERY_DESCRIPTORS, OptionalParts, PUSHED_DISCOVERY_DESCRIPTORS, Reservations};
 
@@ -56,8 +58,7 @@
     pub fn reserve_for_other_process(&self, descriptors: usize) {
         let reservations = Reservations::of(self.limits.sockets.saturating_sub(descriptors), self.parts);
         self.max_sessions.set(reservations.sessions);
-        let clients = reservations.clients.min(self.limits.client_connections());
-        self.clients.resize(clients, reservations.idle_clients);
+        self.clients.resize(reservations.clients, reservations.idle_clients);
         self.targets.resize(reservations.targets);
     }
 
--- a/src/net/http/clients/body_reading.rs
+++ b/src/net/http/clients/body_reading.rs
@@ -1,9 +1,11 @@
 //! How much of the current request's body has been read from a connection, and how much may be.
 
 use std::cell::Cell;
+use std::time::Duration;
+use tokio::time::Instant;
 
 /// The reading of one request's body.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct BodyReading {
     /// Bytes that may be read until the handler waits for more.
     window: Cell<usize>,
@@ -11,6 +13,19 @@
     read_ahead: Cell<usize>,
     /// Bytes that were read and passed on to the HTTP service.
     passed_on: Cell<u64>,
+    /// When bytes were last passed on, or the body began.
+    moved_at: Cell<Instant>,
+}
+
+impl Default for BodyReading {
+    fn default() -> BodyReading {
+        BodyReading {
+            window: Cell::default(),
+            read_ahead: Cell::default(),
+            passed_on: Cell::default(),
+            moved_at: Cell::new(Instant::now()),
+        }
+    }
 }
 
 impl BodyReading {
@@ -19,6 +34,12 @@
         self.window.set(0);
         self.read_ahead.set(0);
         self.passed_on.set(0);
+        self.moved_at.set(Instant::now());
+    }
+
+    /// How long the handler has waited for bytes of the body and none have come; `None`: it does not wait.
+    pub(super) fn stall(&self, now: Instant) -> Option<Duration> {
+        (self.window() > 0).then(|| now.saturating_duration_since(self.moved_at.get()))
     }
 
     /// Bytes that may be read now.
@@ -45,6 +66,7 @@
     pub(super) fn record_passed_on(&self, bytes: usize) {
         self.window.set(self.window.get().saturating_sub(bytes));
         self.passed_on.set(self.passed_on.get() + bytes as u64);
+        self.moved_at.set(Instant::now());
     }
 
     /// Bytes that were passed on.
--- a/src/net/http/clients/connection.rs
+++ b/src/net/http/clients/connection.rs
@@ -46,6 +46,9 @@
     ended: Cell<bool>,
     /// Notified when the connection is evicted while it is closing.
     pub(super) evicted: Notify,
+    /// Whether the request that is being handled gives way to others, and its notification.
+    is_shed: Cell<bool>,
+    shed: Notify,
     /// Whether a complete head was read that the HTTP service does not have yet.
     unserved_requests: Cell<bool>,
     /// Bytes that were read and that the HTTP service does not have yet.
@@ -70,6 +73,8 @@
             write_blocked_since: Cell::new(None),
             ended: Cell::new(false),
             evicted: Notify::new(),
+            is_shed: Cell::new(false),
+            shed: Notify::new(),
             unserved_requests: Cell::new(false),
             kept_bytes: Cell::new(0),
             body_reading: BodyReading::default(),
@@ -181,6 +186,27 @@
         read_closed(&self.stream).await;
     }
 
+    /// Makes the upload that is being handled give way to others.
+    pub(super) fn shed(&self) {
+        self.is_shed.set(true);
+        self.shed.notify_one();
+    }
+
+    /// Resolves once the upload that is being handled has to give way to others. Cancel safe.
+    pub async fn upload_shed(&self) {
+        while !self.is_shed.get() {
+            self.shed.notified().await;
+        }
+    }
+
+    /// How long the client of the upload that is being handled has sent nothing that was waited for; `None`: there is no
+    /// such upload, or it gives way already.
+    pub(super) fn upload_stall(&self, now: Instant) -> Option<Duration> {
+        let uploading =
+            self.phase.get() == Phase::Busy && !self.request_complete.get() && !self.is_shed.get();
+        if uploading { self.body_reading.stall(now) } else { None }
+    }
+
     /// Marks a request of this client as submitted to the core for as long as the guard is held.
     pub fn await_response(self: &Rc<Self>) -> AwaitingResponse {
         self.awaiting_response.set(true);
@@ -195,6 +221,7 @@
     /// Marks the connection as busy with a request for as long as the guard is held.
     pub fn begin_request(self: &Rc<Self>) -> ActiveRequest {
         self.request_complete.set(false);
+        self.is_shed.set(false);
         self.body_reading.reset();
         self.set_phase(Phase::Busy);
         ActiveRequest(Rc::clone(self))
--- a/src/net/http/clients/mod.rs
+++ b/src/net/http/clients/mod.rs
@@ -11,6 +11,7 @@
 mod limits;
 mod open_streams;
 mod request_reader;
+mod shedding;
 mod stream;
 mod surplus;
 mod table;
@@ -18,8 +19,9 @@
 pub use connection::{ActiveRequest, AwaitingResponse, ClientConnection};
 pub use limits::{
     BODY_READ_BYTES, EVICTION_MIN_AGE, HEAD_TIMEOUT, IDLE_TIMEOUT, MAX_HEAD_BYTES, MAX_PIPELINED_BYTES,
-    MAX_PIPELINED_HEADS, MAX_UNREGISTERED, SURPLUS_IDLE_TIMEOUT, UNCROWDED_DIVISOR, UNCROWDED_IDLE_TIMEOUT,
-    WRITE_TIMEOUT,
+    MAX_PIPELINED_HEADS, MAX_UNREGISTERED, MIN_SHED_STALL, SURPLUS_IDLE_TIMEOUT, UNCROWDED_DIVISOR,
+    UNCROWDED_IDLE_TIMEOUT, WRITE_TIMEOUT,
 };
+pub use shedding::ShedCounters;
 pub use stream::ClientStream;
-pub use table::{ConnectionTable, ConnectionUsage};
+pub use table::{ConnectionTable, ConnectionUsage, UploadSlot};
--- a/src/net/http/clients/request_reader.rs
+++ b/src/net/http/clients/request_reader.rs
@@ -254,6 +254,10 @@
 
     /// Keeps more of a body, up to `limit` bytes in all.
     fn keep_body(&mut self, cx: &mut Context<'_>, limit: usize) -> Poll<io::Result<()>> {
+        if !self.head_memory.admits_more() {
+            // The handler asks for more when it needs it. The system tells of the client's close all the same.
+            return Poll::Pending;
+        }
         let more = limit.saturating_sub(self.surplus.len());
         match ready!(self.read_ahead(cx, |reader, bytes| reader.surplus.push(bytes), more))? {
             ReadAhead::Ended => Poll::Ready(Ok(())),
--- a/src/net/http/clients/table.rs
+++ b/src/net/http/clients/table.rs
@@ -3,15 +3,18 @@
 
 use super::connection::{ClientConnection, Phase};
 use super::limits::{
-    EVICTION_MIN_AGE, HEAD_TIMEOUT, IDLE_TIMEOUT, MAX_REJECTING, MAX_UNREGISTERED, REJECT_LINGER,
-    REJECT_RESPONSE, SURPLUS_IDLE_TIMEOUT, UNCROWDED_DIVISOR, UNCROWDED_IDLE_TIMEOUT, WRITE_TIMEOUT,
+    HEAD_TIMEOUT, IDLE_TIMEOUT, MAX_REJECTING, MAX_UNREGISTERED, REJECT_LINGER, REJECT_RESPONSE,
+    SURPLUS_IDLE_TIMEOUT, UNCROWDED_DIVISOR, UNCROWDED_IDLE_TIMEOUT, UPLOAD_CONNECTIONS_DIVISOR,
+    WRITE_TIMEOUT,
 };
 use super::open_streams::{CountedStream, OpenStreams};
+use super::shedding::{
+    Connections, Evictable, SharedCounters, ShedCounters, eviction_candidate, stalled_upload,
+};
 use super::stream::ClientStream;
-use crate::net::budget::MemoryBudget;
+use crate::net::budget::{MemoryBudgets, MemoryUse};
 use crate::net::close::close;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -46,20 +49,29 @@
     rejecting: Cell<usize>,
     next_id: Cell<u64>,
     open_streams: Rc<OpenStreams>,
-    /// The memory for long heads and for what clients send ahead of the responses.
-    head_memory: MemoryBudget,
-    connections: RefCell<BTreeMap<u64, Rc<ClientConnection>>>,
+    /// The memory for heads, for what clients send ahead of the responses, and for the connections themselves.
+    memory: MemoryBudgets,
+    /// Connections for which there is memory: all but those that are being closed.
+    memory_capacity: usize,
+    /// Uploads that have not arrived whole.
+    uploads: Cell<usize>,
+    shed: SharedCounters,
+    connections: RefCell<Connections>,
 }
 
 impl ConnectionTable {
-    /// Creates a table for `capacity` connections, of which `max_idle` may stay idle for long. The memory for heads has
-    /// no limit.
+    /// Creates a table for `capacity` connections, of which `max_idle` may stay idle for long. Their memory has no limit.
     pub fn new(capacity: usize, max_idle: usize) -> ConnectionTable {
-        ConnectionTable::with_head_memory(capacity, max_idle, MemoryBudget::unlimited())
+        ConnectionTable::with_memory(capacity, max_idle, MemoryBudgets::unlimited(), usize::MAX)
     }
 
-    /// Like [`ConnectionTable::new`], with a budget for long heads and for what clients send ahead of the responses.
-    pub fn with_head_memory(capacity: usize, max_idle: usize, head_memory: MemoryBudget) -> ConnectionTable {
+    /// Like [`ConnectionTable::new`], with memory for `memory_capacity` connections that are not being closed.
+    pub fn with_memory(
+        capacity: usize,
+        max_idle: usize,
+        memory: MemoryBudgets,
+        memory_capacity: usize,
+    ) -> ConnectionTable {
         ConnectionTable(Rc::new(State {
             capacity: Cell::new(capacity),
             max_idle: Cell::new(max_idle),
@@ -68,7 +80,10 @@
             rejecting: Cell::new(0),
             next_id: Cell::new(0),
             open_streams: Rc::default(),
-            head_memory,
+            memory,
+            memory_capacity,
+            uploads: Cell::default(),
+            shed: SharedCounters::default(),
             connections: RefCell::default(),
         }))
     }
@@ -106,15 +121,60 @@
 
     /// Evicts a connection that has no open request. Returns false if there is none.
     pub fn evict_one(&self) -> bool {
+        self.evict(Evictable::Any)
+    }
+
+    fn evict(&self, evictable: Evictable) -> bool {
         let mut connections = self.0.connections.borrow_mut();
-        let evicted = eviction_candidate(&connections).and_then(|id| connections.remove(&id));
+        let evicted = eviction_candidate(&connections, evictable).and_then(|id| connections.remove(&id));
         evicted.is_some_and(|connection| {
+            self.0.shed.record(|counters| counters.evicted += 1);
             connection.evicted.notify_one();
             connection.end();
             true
         })
     }
 
+    /// Makes the upload give way whose client has stopped for longest. Returns false if there is none.
+    pub fn shed_stalled_upload(&self) -> bool {
+        let connections = self.0.connections.borrow();
+        let stalled = stalled_upload(&connections);
+        stalled.is_some_and(|connection| {
+            self.0.shed.record(|counters| counters.uploads += 1);
+            connection.shed();
+            true
+        })
+    }
+
+    /// How many connections and requests gave way, by reason.
+    pub fn shed_counters(&self) -> ShedCounters {
+        self.0.shed.get()
+    }
+
+    /// Counts an upload that has not arrived whole until the slot is dropped. `None`: there are as many as may be; the one
+    /// whose client has stopped for longest gives way, for the next.
+    pub fn begin_upload(&self) -> Option<UploadSlot> {
+        let capacity = self.memory_capacity() / UPLOAD_CONNECTIONS_DIVISOR;
+        if self.0.uploads.get() >= capacity.max(1) {
+            self.0.shed.record(|counters| counters.refused_uploads += 1);
+            self.shed_stalled_upload();
+            return None;
+        }
+        self.0.uploads.set(self.0.uploads.get() + 1);
+        Some(UploadSlot(self.clone()))
+    }
+
+    /// Connections that may be open at once, beside those that are being closed.
+    fn memory_capacity(&self) -> usize {
+        self.0.capacity.get().min(self.0.memory_capacity)
+    }
+
+    /// Connections that are not being closed.
+    fn active_connections(&self) -> usize {
+        let connections = self.0.connections.borrow();
+        connections.values().filter(|connection| connection.phase() != Phase::Closing).count()
+    }
+
     /// Changes the limits. Connections beyond the capacity are evicted as new ones arrive.
     pub fn resize(&self, capacity: usize, max_idle: usize) {
         self.0.capacity.set(capacity);
@@ -137,17 +197,38 @@
         self.0.close_at_once.get()
     }
 
-    /// Registers a new connection. If the table is full, one without an open request is evicted for it.
-    /// Returns `None` if all have an open request; the new connection is then rejected and closed.
+    /// Registers a new connection. If the table is full, or there is no memory, one without an open request is evicted
+    /// for it, or an upload gives way. Returns `None` if nothing does; the new connection is then rejected and closed.
     pub fn register(&self, stream: TcpStream) -> Option<ClientStream> {
-        if self.open_connections() >= self.0.capacity.get() && !self.evict_one() {
+        if !self.make_room() {
             self.reject(stream);
             return None;
         }
         let stream = Rc::new(CountedStream::new(stream, &self.0.open_streams));
         let connection = Rc::new(ClientConnection::new(stream));
         let registration = self.insert(&connection);
-        Some(ClientStream::new(connection, registration, &self.0.head_memory))
+        Some(ClientStream::new(connection, registration, &self.0.memory.heads))
+    }
+
+    /// Makes room for a new connection. Returns false if there is none.
+    fn make_room(&self) -> bool {
+        if self.open_connections() >= self.0.capacity.get() && !self.evict_one() {
+            return false;
+        }
+        let has_place = self.open_connections() < self.0.memory_capacity
+            || self.active_connections() < self.0.memory_capacity
+            || self.evict(Evictable::Open);
+        if !has_place {
+            // Its place is free once its handler has run; the next connection finds it.
+            self.shed_stalled_upload();
+            return false;
+        }
+        if self.0.memory.bound.admits(MemoryUse::Connection) {
+            return true;
+        }
+        self.evict(Evictable::Open);
+        self.shed_stalled_upload();
+        false
     }
 
     fn insert(&self, connection: &Rc<ClientConnection>) -> Registration {
@@ -160,6 +241,7 @@
     /// Sends a 503 to a connection that found no capacity. While [`MAX_REJECTING`] others are being sent one,
     /// it is closed without a response.
     fn reject(&self, stream: TcpStream) {
+        self.0.shed.record(|counters| counters.rejected += 1);
         if self.0.rejecting.get() >= MAX_REJECTING {
             return;
         }
@@ -193,7 +275,7 @@
 
     /// How long a connection may stay idle; `None`: without limit.
     fn idle_timeout(&self, open: usize) -> Option<Duration> {
-        let crowded = open > self.0.capacity.get() / UNCROWDED_DIVISOR;
+        let crowded = open > self.memory_capacity() / UNCROWDED_DIVISOR;
         match (self.0.keep_idle.get(), crowded) {
             (true, _) => None,
             (false, true) => Some(IDLE_TIMEOUT),
@@ -225,29 +307,6 @@
     write_timed_out || phase_timeout.is_some_and(|timeout| connection.phase_age(now) >= timeout)
 }
 
-/// The connection to evict for a new one: the one that has been closing for longest, else the one silent for
-/// longest, else the one idle for longest, else the one whose head has taken longest.
-fn eviction_candidate(connections: &BTreeMap<u64, Rc<ClientConnection>>) -> Option<u64> {
-    let now = Instant::now();
-    let settled = connections.iter().filter(|(_, connection)| connection.phase_age(now) >= EVICTION_MIN_AGE);
-    let ranked = settled.filter_map(|(id, connection)| {
-        let rank = eviction_rank(connection.phase_for_eviction())?;
-        Some((rank, connection.phase_since(), *id))
-    });
-    ranked.min().map(|(.., id)| id)
-}
-
-/// Connections with a lower rank are evicted first; `None`: a request is open, and the connection stays.
-fn eviction_rank(phase: Phase) -> Option<u8> {
-    match phase {
-        Phase::Closing => Some(0),
-        Phase::Silent => Some(1),
-        Phase::Idle => Some(2),
-        Phase::Head => Some(3),
-        Phase::Busy => None,
-    }
-}
-
 /// Keeps a connection in the table until it is dropped.
 #[derive(Debug)]
 pub(super) struct Registration {
@@ -271,3 +330,13 @@
         self.table.0.connections.borrow_mut().remove(&self.id);
     }
 }
+
+/// Counts an upload that has not arrived whole until it is dropped.
+#[derive(Debug)]
+pub struct UploadSlot(ConnectionTable);
+
+impl Drop for UploadSlot {
+    fn drop(&mut self) {
+        self.0.0.uploads.set(self.0.0.uploads.get() - 1);
+    }
+}
--- a/src/net/http/handler.rs
+++ b/src/net/http/handler.rs
@@ -5,8 +5,9 @@
 use super::request_body::RequestBody;
 use super::response_body::HttpBody;
 use super::server::Front;
-use crate::core::{MAX_BUFFERED_BODY, PendingResponse, Response, ResponseBody, Upload, UploadSource};
+use crate::core::{self, MAX_BUFFERED_BODY, PendingResponse, Response, ResponseBody, Upload, UploadSource};
 use crate::net::Phase;
+use crate::net::budget::MemoryUse;
 use actix_http::body::{BodySize, MessageBody};
 use actix_http::header::{CONTENT_LENGTH, HeaderMap};
 use actix_http::{ConnectionType, Method, Request, Response as HttpResponse, StatusCode, Version};
@@ -105,6 +106,12 @@
             None => std::future::pending().await,
         }
     };
+    let upload_shed = async {
+        match connection {
+            Some(connection) => connection.upload_shed().await,
+            None => std::future::pending().await,
+        }
+    };
     let _awaiting_response = connection.map(ClientConnection::await_response);
     tokio::select! {
         biased;
@@ -115,6 +122,11 @@
             connection.into_iter().for_each(|connection| connection.close_after_response());
             message::empty_response(StatusCode::REQUEST_TIMEOUT)
         }
+        // Its last byte has not arrived, so no target can have run it.
+        () = upload_shed => {
+            tracing::debug!("upload gave way to others because its client had stopped");
+            no_capacity()
+        }
     }
 }
 
@@ -135,12 +147,23 @@
         .map_err(|error| bad_request(&error))?;
     drop(headers);
     front.core.validate(&request).map_err(|error| bad_request(&error))?;
+    if !front.memory.bound.admits(MemoryUse::Connection) {
+        return Err(no_capacity());
+    }
     let mut memory = front.memory.bodies.reservation();
     let mut body = RequestBody::new(http_request.take_payload(), connection.cloned(), declared_length);
-    let (buffered, complete) = body.read_buffered(&mut memory).await?;
+    let mut upload_slot = None;
+    if !has_arrived(&request, connection, declared_length) {
+        upload_slot = Some(front.clients.begin_upload().ok_or_else(no_capacity)?);
+    }
+    let (buffered, complete) = body.read_buffered(&front.clients, &mut memory).await?;
     request.body = buffered;
+    if complete {
+        upload_slot = None;
+    }
     if !complete && request.write {
         if !memory.try_grow(UPLOAD_BUFFER_BYTES) {
+            front.clients.shed_stalled_upload();
             return Err(no_capacity());
         }
         if let Some(connection) = connection {
@@ -166,9 +189,20 @@
         Some(upload) => response_to_upload(pending, &upload).await,
         None => pending.response().await,
     };
+    drop(upload_slot);
     Ok(message::encode_response(response))
 }
 
+/// Whether all of a request's body has arrived on this machine, read or not. A body of unknown length has not.
+fn has_arrived(
+    request: &core::Request,
+    connection: Option<&Rc<ClientConnection>>,
+    declared_length: Option<u64>,
+) -> bool {
+    let arrived_bytes = || connection.map_or(u64::MAX, |connection| connection.arrived_body_bytes());
+    !request.write || declared_length.is_some_and(|length| length <= arrived_bytes())
+}
+
 /// Waits for the response to a request whose body may still be arriving.
 async fn response_to_upload(pending: PendingResponse, upload: &Upload) -> Response {
     let response = pending.response();
--- a/src/net/http/request_body.rs
+++ b/src/net/http/request_body.rs
@@ -1,6 +1,6 @@
 //! Reads a request's body from its client, within the memory for all bodies.
 
-use super::clients::{BODY_READ_BYTES, ClientConnection};
+use super::clients::{BODY_READ_BYTES, ClientConnection, ConnectionTable};
 use super::handler::no_capacity;
 use super::message::{self, MAX_BODY_BYTES};
 use crate::core::{IncompleteBody, MAX_BUFFERED_BODY, MIN_BODY_TIMEOUT, ResponseBody, slowest_transfer};
@@ -82,6 +82,7 @@
     /// The response to a client whose body cannot be read, or for whose body no memory is left.
     pub(super) async fn read_buffered(
         &mut self,
+        clients: &ConnectionTable,
         memory: &mut MemoryReservation,
     ) -> Result<(Bytes, bool), HttpResponse<ResponseBody>> {
         let longest = self.declared_length.unwrap_or(MAX_BODY_BYTES).min(MAX_FIRST_PART as u64) as usize;
@@ -90,9 +91,13 @@
             if body.capacity() == 0 {
                 // Allocated at once: a buffer that grew as it is filled would take up to twice the length of the body.
                 if !memory.try_grow(longest) {
+                    clients.shed_stalled_upload();
                     return Err(no_capacity());
                 }
                 body.reserve(longest);
+            } else if !memory.admits_more() && !clients.shed_stalled_upload() {
+                // Reserved memory is not resident before it is written to.
+                return Err(no_capacity());
             }
             body.extend_from_slice(&chunk);
             if body.len() > MAX_BUFFERED_BODY {
--- a/src/net/iscsi/front/commands.rs
+++ b/src/net/iscsi/front/commands.rs
@@ -106,6 +106,11 @@
     /// Adds data to a write. Data for a task that was aborted or failed may still arrive, and is dropped.
     fn receive_data(&mut self, itt: u32, offset: u32, data: &Bytes, last: bool) {
         let Some(Task::ReceivingData(write)) = self.tasks.get_mut(&itt) else { return };
+        if !write.memory.admits_more() {
+            self.tasks.remove(&itt);
+            self.send_status(itt, scsi::TASK_SET_FULL, NO_MEMORY_RETRY_AFTER, None);
+            return;
+        }
         let fits = write.append(offset, data);
         let complete = write.is_complete();
         if !fits || (last && !complete) {
--- a/src/net/iscsi/front/mod.rs
+++ b/src/net/iscsi/front/mod.rs
@@ -78,12 +78,17 @@
             Ok(()) = phase.changed() => continue,
         };
         match accepted {
-            Ok((stream, _)) if front.open_sessions.get() < front.max_sessions.get() => {
+            Ok((stream, _))
+                if front.open_sessions.get() < front.max_sessions.get() && front.bodies.admits_more() =>
+            {
                 failures.record_success();
                 start_session(&front, stream);
             }
             Ok(_) => {
-                tracing::warn!(open = front.open_sessions.get(), "session rejected, too many are open");
+                tracing::warn!(
+                    open = front.open_sessions.get(),
+                    "session rejected, too many are open, or no memory is left"
+                );
             }
             Err(error) => pause(failures.record_failure(&error, "iscsi")).await,
         }
--- a/src/net/iscsi/front/responses.rs
+++ b/src/net/iscsi/front/responses.rs
@@ -18,7 +18,7 @@
     /// Sends responses until the send buffer exceeds its high watermark. The others remain open tasks, whose
     /// number is limited.
     pub(super) fn send_completed(&mut self) {
-        while self.out.len() <= RESPONSE_HIGH_WATERMARK_BYTES
+        while self.may_send_more()
             && let Some(CompletedTask { itt, read_length, response }) = self.completed.pop_front()
         {
             self.tasks.remove(&itt);
@@ -32,6 +32,12 @@
         }
     }
 
+    /// Whether another response may be added to the send buffer: without memory, only to an empty one.
+    fn may_send_more(&self) -> bool {
+        self.out.is_empty()
+            || (self.out.len() <= RESPONSE_HIGH_WATERMARK_BYTES && self.front.bodies.admits_more())
+    }
+
     fn send_response(&mut self, itt: u32, read_length: Option<u32>, response: Response) {
         match response {
             Response::Rejected { retry_after } | Response::SiteUnavailable { retry_after, .. } => {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,5 +10,5 @@
 mod phase;
 pub mod quota_exchange;
 
-pub use budget::{DescriptorBudget, MemoryBudgets, OptionalParts, Reservations};
+pub use budget::{DescriptorBudget, MemoryBound, MemoryBudgets, OptionalParts, Reservations};
 pub use phase::Phase;
--- a/tests/budget.rs
+++ b/tests/budget.rs
@@ -1,8 +1,9 @@
 //! The file descriptors of the process: those reserved ahead of clients, and that all reservations stay
 //! within the limit.
 
-use rowanglade::net::budget::MemoryBudget;
+use rowanglade::config::Limits;
 use rowanglade::net::budget::{DISCOVERY_DESCRIPTORS, PUSHED_DISCOVERY_DESCRIPTORS};
+use rowanglade::net::budget::{MemoryBound, MemoryBudget, MemoryUse, ResidentMemory};
 use rowanglade::net::{OptionalParts, Reservations};
 
 fn all_parts() -> impl Iterator<Item = OptionalParts> {
@@ -52,6 +53,32 @@
     assert_eq!(shared(&alone) - shared(&beside), 200);
 }
 
+// Guards against exceeding the memory limit by what no budget counts: whoever takes more asks what the process really takes.
+#[test]
+fn a_budget_grants_nothing_while_the_process_is_over_its_bound() {
+    let bound_of = |memory_mb| MemoryBound::of_process(&Limits { memory_mb, ..Limits::default() });
+    let (wide, narrow) = (bound_of(1 << 20), bound_of(1));
+    assert!(wide.admits(MemoryUse::NewContent) && !narrow.admits(MemoryUse::Connection));
+    assert_eq!((wide.refused(), narrow.refused()), (0, 1));
+    let taken = wide.usage().expect("the system tells");
+    assert!(taken.total >= taken.anonymous && taken.anonymous > 0, "{taken:?}");
+    assert!(MemoryBudget::below(wide, 100).reservation().try_grow(100));
+    let budget = MemoryBudget::below(narrow, 100);
+    let mut reservation = budget.reservation();
+    assert!(!reservation.try_grow(1) && !reservation.admits_more());
+    assert_eq!(budget.used(), 0);
+}
+
+// Guards against a limit that is checked for one kind of pages only: the anonymous ones may take 85 % of it.
+#[test]
+fn anonymous_memory_counts_against_a_smaller_part_of_the_limit() {
+    let limit = 100 << 20;
+    let percent = |total_mb: usize, anonymous_mb: usize| {
+        ResidentMemory { total: total_mb << 20, anonymous: anonymous_mb << 20 }.percent_of(limit)
+    };
+    assert_eq!((percent(80, 34), percent(80, 68), percent(86, 85)), (80, 80, 100));
+}
+
 // Guards against memory that is counted twice or never given back.
 #[test]
 fn memory_that_is_reserved_is_available_again_once_its_reservation_is_dropped() {
