Give the targets of the memory experiments a thread of their own

The crowd's clients kept the thread that the stand-ins for targets ran on, which an initiator takes for slow targets. The sound requests' end now tells the advice to come again, which differs by who refused: 100 ms is the table's and the budgets', others are the scheduler's.

--- a/crates/lab/src/memory/play.rs
+++ b/crates/lab/src/memory/play.rs
@@ -3,7 +3,7 @@
 use super::clients::{Address, Behaviour, Crowd};
 use super::core_load::SharedCore;
 use super::sound::{SoundClients, SoundRequests};
-use super::target;
+use super::target::Targets;
 use crate::failure::Failure;
 use crate::initiators::ZONE;
 use crate::traces::standard_header;
@@ -190,10 +190,11 @@
 /// A socket cannot be bound, or a process does not start.
 pub async fn play(plan: &MemoryPlan) -> Result<Vec<ProcessResult>, Failure> {
     let discovery = Discovery::start(ZONE).await?;
-    for shard in 0..TARGETS as u32 {
+    let targets = Targets::start(TARGETS).await?;
+    for (shard, addr) in (0u32..).zip(&targets.addresses) {
         discovery.upsert(Endpoint {
             id: format!("s-{shard}"),
-            addr: target::start(shard % 2 == 1).await?,
+            addr: *addr,
             shard,
             state: EndpointState::Active,
             started_ms: 0,
--- a/crates/lab/src/memory/sound.rs
+++ b/crates/lab/src/memory/sound.rs
@@ -89,8 +89,7 @@
             *requests.borrow_mut().0.entry(fate).or_default() += 1;
         });
     }
-    let requests = requests.borrow().clone();
-    requests
+    requests.take()
 }
 
 /// Asks the process whether it is ready until it says so.
@@ -120,7 +119,16 @@
     };
     match answer.await {
         Ok(text) if text.starts_with("HTTP/1.1 200") => Fate::Served,
-        Ok(text) if !text.is_empty() => Fate::Status(text.split(' ').nth(1).unwrap_or_default().to_string()),
+        Ok(text) if !text.is_empty() => Fate::Status(status_and_advice(&text)),
         Ok(_) | Err(_) => Fate::ClosedWithoutAnswer,
     }
 }
+
+/// The status of an answer, and when it advises to come again: both tell who gave it.
+fn status_and_advice(answer: &str) -> String {
+    let status = answer.split(' ').nth(1).unwrap_or_default();
+    let advice = answer
+        .lines()
+        .find_map(|line| line.split_once(':').filter(|(name, _)| name.eq_ignore_ascii_case("retry-after")));
+    advice.map_or(status.to_string(), |(_, seconds)| format!("{status}, again in{seconds} s"))
+}
--- a/crates/lab/src/memory/target.rs
+++ b/crates/lab/src/memory/target.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot;
 
 /// Length of a long response.
 const LONG_RESPONSE_BYTES: usize = 32 << 20;
@@ -18,11 +19,37 @@
 /// Path of a shallow probe.
 const PROBE_PATH: &str = "/alive";
 
+/// Targets on a thread of their own, until this is dropped: the clients keep theirs busy, and initiators would take that
+/// for slow targets.
+pub struct Targets {
+    /// The addresses of the targets, of which every other one answers reads at length.
+    pub addresses: Vec<SocketAddr>,
+    #[expect(dead_code, reason = "held for its drop, which ends the thread")]
+    stop: oneshot::Sender<()>,
+}
+
+impl Targets {
+    /// Starts this many targets.
+    ///
+    /// # Errors
+    /// A socket cannot be bound.
+    pub async fn start(count: usize) -> io::Result<Targets> {
+        let (started, addresses) = oneshot::channel();
+        let (stop, stopped) = oneshot::channel::<()>();
+        std::thread::spawn(move || {
+            crate::runtime::block_on(async move {
+                let starts = (0..count).map(|number| start(number % 2 == 1));
+                let _ = started.send(futures_util::future::try_join_all(starts).await);
+                let _ = stopped.await;
+            });
+        });
+        let addresses = addresses.await.map_err(io::Error::other)??;
+        Ok(Targets { addresses, stop })
+    }
+}
+
 /// Starts a target. Returns its address.
-///
-/// # Errors
-/// The socket cannot be bound.
-pub async fn start(long_responses: bool) -> io::Result<SocketAddr> {
+async fn start(long_responses: bool) -> io::Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let addr = listener.local_addr()?;
     tokio::task::spawn_local(async move {
