Do not count bodies that clients break off against their targets

Cause: an attempt whose client broke off the body ended as unreachable, or as cancelled when the client had left.

Change: such an attempt ends as ClientAborted. The request never ran, since its last byte was not written; the target has not failed and shows no latency, and the body is not sent again.

--- a/src/core/actor/attempt_results.rs
+++ b/src/core/actor/attempt_results.rs
@@ -34,7 +34,7 @@
         let Some(open) = self.open_requests.get_mut(id) else { return };
         let Some(attempt) = open.take_attempt(number) else { return };
         let result = as_not_sent_if_unstarted(&attempt, result);
-        let outcome = result.outcome;
+        let outcome = outcome_of_incomplete_body(&open.request, result.outcome);
         let now = self.clock.now();
         open.trace(number, |trace| trace.ended = Some((now, outcome)));
         let may_have_run = open.may_have_run();
@@ -101,6 +101,16 @@
     }
 }
 
+/// Corrects the outcome of an attempt that was cancelled while its client had not sent all of the body: the time until
+/// then is the client's, and the target has not run the request.
+fn outcome_of_incomplete_body(request: &Request, outcome: Outcome) -> Outcome {
+    let is_incomplete = request.body_rest.as_ref().is_some_and(|upload| upload.completed_at().is_none());
+    match outcome {
+        Outcome::Cancelled if is_incomplete => Outcome::ClientAborted,
+        outcome => outcome,
+    }
+}
+
 /// The response that an attempt's outcome determines for its client. `None`: the scheduler may retry. If part
 /// of a streamed body was read (`consumed`), it cannot be sent to another attempt. `may_have_run`: whether this attempt,
 /// or an earlier one, may have run.
--- a/src/core/site_monitor.rs
+++ b/src/core/site_monitor.rs
@@ -60,7 +60,7 @@
         elapsed: Option<Micros>,
     ) {
         match outcome {
-            Outcome::NotSent => {}
+            Outcome::NotSent | Outcome::ClientAborted => {}
             Outcome::Served | Outcome::Error | Outcome::QueueFull | Outcome::DeadlineExceeded => {
                 self.sites.handle_response(now, target, elapsed.filter(|_| outcome == Outcome::Served));
             }
--- a/src/interface/outcome.rs
+++ b/src/interface/outcome.rs
@@ -38,6 +38,8 @@
     Cancelled,
     /// The attempt was not sent: the request never ran.
     NotSent,
+    /// The client broke off the body while it was sent: the request never ran, and the target is not at fault.
+    ClientAborted,
 }
 
 impl Outcome {
@@ -45,7 +47,11 @@
     pub fn proves_not_executed(self) -> bool {
         matches!(
             self,
-            Outcome::QueueFull | Outcome::DeadlineExceeded | Outcome::Unreachable | Outcome::NotSent
+            Outcome::QueueFull
+                | Outcome::DeadlineExceeded
+                | Outcome::Unreachable
+                | Outcome::NotSent
+                | Outcome::ClientAborted
         )
     }
 
--- a/src/net/http/target.rs
+++ b/src/net/http/target.rs
@@ -12,6 +12,7 @@
 use rowanglade_http_exchange::{
     BodyAborted, BodyStream, Connection, ConnectionPool, EmptyStream, ExchangeError, RequestBody,
 };
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -112,11 +113,16 @@
     rest: UploadReader<'a>,
     upload: &'a Upload,
     report: &'a AttemptReporter,
+    /// Whether the client has broken off the body.
+    aborted: &'a Cell<bool>,
 }
 
 impl BodyStream for UploadStream<'_> {
     async fn next(&mut self) -> Result<Option<Bytes>, BodyAborted> {
-        let chunk = self.rest.next().await.map_err(|IncompleteBody| BodyAborted);
+        let chunk = self.rest.next().await.map_err(|IncompleteBody| {
+            self.aborted.set(true);
+            BodyAborted
+        });
         if self.upload.is_consumed() {
             self.report.body_started();
         }
@@ -131,11 +137,12 @@
     patience: ResponsePatience,
     report: &AttemptReporter,
 ) -> AttemptResult {
+    let client_aborted = Cell::new(false);
     let mut upload_stream = None;
     if let Some(upload) = &request.body_rest {
         // Another attempt has consumed a part of the body, which cannot be sent again.
         let Some(rest) = upload.reader() else { return AttemptResult::without_response(Outcome::NotSent) };
-        upload_stream = Some(UploadStream { rest, upload, report });
+        upload_stream = Some(UploadStream { rest, upload, report, aborted: &client_aborted });
     }
     let body = request.write.then(|| RequestBody {
         buffered: request.body.clone(),
@@ -157,7 +164,10 @@
         let content = read_content(transport, connection, &head, patience).await.map_err(outcome)?;
         Ok(message::attempt_result(head.status, &head.headers, content))
     };
-    result.await.unwrap_or_else(AttemptResult::without_response)
+    result.await.unwrap_or_else(|outcome| {
+        let outcome = if client_aborted.get() { Outcome::ClientAborted } else { outcome };
+        AttemptResult::without_response(outcome)
+    })
 }
 
 async fn check_out(transport: &TargetTransport, addr: SocketAddr) -> Result<Connection, Outcome> {
--- a/src/scheduler/outcomes.rs
+++ b/src/scheduler/outcomes.rs
@@ -92,7 +92,11 @@
     /// Records when a target responded, and when the attempt that it responded to was sent.
     fn record_response(&mut self, now: Micros, target: TargetId, sent_at: Micros, outcome: Outcome) {
         let Some(state) = self.targets.get_mut(&target) else { return };
-        if !matches!(outcome, Outcome::TimedOut | Outcome::Cancelled | Outcome::NotSent) {
+        let is_silent = matches!(
+            outcome,
+            Outcome::TimedOut | Outcome::Cancelled | Outcome::NotSent | Outcome::ClientAborted
+        );
+        if !is_silent {
             state.responded_at = now;
         }
         if matches!(outcome, Outcome::Served | Outcome::Error) {
--- a/src/scheduler/retry.rs
+++ b/src/scheduler/retry.rs
@@ -45,8 +45,8 @@
 
 impl Scheduler {
     /// Handles an attempt that was not served: queues the request for a retry, or gives it its final
-    /// response. The request is retried unless it has no attempts or no time left, or may not run again at
-    /// the target that failed. Nothing is done if it has its final response, if its response is being passed
+    /// response. The request is retried unless it has no attempts or no time left, its client will not send the
+    /// rest of its body, or it may not run again at the target that failed. Nothing is done if it has its final response, if its response is being passed
     /// to its client, or if it is already queued.
     pub(super) fn retry_or_finish(
         &mut self,
@@ -61,7 +61,12 @@
             return;
         }
         let no_time_left = outcome.is_late() || self.is_out_of_time(now, request);
-        if no_time_left || !self.has_attempts_left(request) || !self.may_run_again(now, request, target) {
+        let no_body = outcome == Outcome::ClientAborted;
+        if no_time_left
+            || no_body
+            || !self.has_attempts_left(request)
+            || !self.may_run_again(now, request, target)
+        {
             self.reject_or_fail(now, id, actions);
         } else {
             self.enqueue(now, id);
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -211,6 +211,20 @@
     assert_eq!(started.len(), 1, "{started:?}");
 }
 
+// Guards against sound requests that are refused because other clients stop in the middle of their bodies: their targets
+// counted as failing, and the time for which the clients were silent as the targets' latency.
+#[test]
+fn bodies_that_clients_break_off_count_neither_as_failures_nor_as_latency_of_their_target() {
+    const ABORTED: u64 = 20;
+    let mut harness = target_with_latency(MS);
+    for id in 1..=ABORTED {
+        assert_eq!(started_requests(&harness.arrive(request(id, KEYED))), [id], "sent at once");
+        let ended = harness.attempt_ended(id, 0, 0, Outcome::ClientAborted, 3_000 * MS);
+        assert!(started_requests(&ended).is_empty(), "not sent again without its body");
+    }
+    assert_eq!(started_requests(&harness.arrive(request(ABORTED + 1, READ))), [ABORTED + 1]);
+}
+
 #[test]
 fn unknown_ids_and_invalid_sizes_are_tolerated() {
     let mut harness = Harness::new(settings(), &[entry(0, 0)]);
