Let an attempt that waits for its client occupy no capacity of its target

Callers saw: short requests refused beside uploads whose clients stop right after the first 64 KiB.

Cause: an attempt at a long body occupied its target's capacity until the first streamed chunk was read. A client that stops before it held that capacity for as long as it was waited for, although the target had nothing to do.

Change: after 50 ms without a chunk the body is committed to the attempt, and the attempt counts as a transfer. It can then not be sent to another target, as with any body of which a chunk was read.

The tests of bodies and stalled uploads pass.

--- a/src/core/upload.rs
+++ b/src/core/upload.rs
@@ -74,6 +74,11 @@
         self.consumed.get()
     }
 
+    /// Commits the body to the attempt that reads it, before any chunk was read: it cannot be sent by another.
+    pub fn commit_to_attempt(&self) {
+        self.consumed.set(true);
+    }
+
     /// When the last byte was read; `None` before that. Until then the target cannot have received all of the body.
     pub fn completed_at(&self) -> Option<Instant> {
         self.completed_at.get()
--- a/src/net/http/target.rs
+++ b/src/net/http/target.rs
@@ -21,6 +21,10 @@
 /// Messages that may wait for the actor. The scheduler's concurrency limit keeps the number far below this.
 const MAILBOX_CAPACITY: usize = 256;
 
+/// How long an attempt waits for its client's next bytes until it occupies no capacity of its target any more: the target
+/// has nothing to do for it.
+const MAX_CLIENT_WAIT: Duration = Duration::from_millis(50);
+
 /// What the actors of all HTTP targets share.
 #[derive(Clone, Debug)]
 pub struct TargetTransport {
@@ -119,7 +123,18 @@
 
 impl BodyStream for UploadStream<'_> {
     async fn next(&mut self) -> Result<Option<Bytes>, BodyAborted> {
-        let chunk = self.rest.next().await.map_err(|IncompleteBody| {
+        let next = self.rest.next();
+        tokio::pin!(next);
+        let chunk = tokio::select! {
+            biased;
+            chunk = &mut next => chunk,
+            () = tokio::time::sleep(MAX_CLIENT_WAIT), if !self.upload.is_consumed() => {
+                self.upload.commit_to_attempt();
+                self.report.body_started();
+                next.await
+            }
+        };
+        let chunk = chunk.map_err(|IncompleteBody| {
             self.aborted.set(true);
             BodyAborted
         });
