Keep connections for requests that are soon over

Cause: whoever came first kept a connection for as long as it liked. An upload that was refused was read on by the HTTP library for up to 1 s, with its buffers and its place in the table. And the listener accepted faster than the tasks of accepted connections ran, so that a burst found the table full of connections that had not been looked at.

Change: uploads that have not arrived whole and streamed responses hold two thirds of the connections at most; the response to a read beyond that is a 503 in place of its first byte, unless it is short. After the response to an upload whose body was not read, the library sees the end of the stream, and the rest is discarded by the ordered close, which takes no buffers. While the table is full and connections before their first request are younger than 25 ms, new ones wait in the system's queue; idle ones do not delay them.

--- a/src/initiator/memory_watch.rs
+++ b/src/initiator/memory_watch.rs
@@ -91,6 +91,7 @@
             shed_uploads = shed.uploads,
             rejected_connections = shed.rejected,
             refused_uploads = shed.refused_uploads,
+            refused_responses = shed.refused_responses,
             "memory by part"
         );
     }
--- a/src/net/http/clients/connection.rs
+++ b/src/net/http/clients/connection.rs
@@ -35,6 +35,8 @@
     request_complete: Cell<bool>,
     /// Whether a response has announced that it is the connection's last.
     close_after_response: Cell<bool>,
+    /// Whether the rest of the current request's body is not read any more.
+    body_abandoned: Cell<bool>,
     /// Whether the last response, whose body ends with the connection, is incomplete.
     truncated: Cell<bool>,
     /// Whether the core has a request of this client without a response.
@@ -67,6 +69,7 @@
             phase_since: Cell::new(Instant::now()),
             request_complete: Cell::new(false),
             close_after_response: Cell::new(false),
+            body_abandoned: Cell::new(false),
             truncated: Cell::new(false),
             awaiting_response: Cell::new(false),
             read_closed: Cell::new(false),
@@ -155,7 +158,7 @@
     }
 
     /// Whether the request that the handler is processing has been read completely.
-    pub(super) fn is_request_complete(&self) -> bool {
+    pub fn is_request_complete(&self) -> bool {
         self.request_complete.get()
     }
 
@@ -169,6 +172,18 @@
         self.close_after_response.get()
     }
 
+    /// Closes the connection after the current response without the HTTP service reading the rest of the request. What
+    /// still arrives is read and discarded while the connection is closed, which takes no buffers.
+    pub fn abandon_body(&self) {
+        self.body_abandoned.set(true);
+        self.close_after_response.set(true);
+    }
+
+    /// Whether the rest of the last request's body is not read any more, and its response has been passed on.
+    pub(super) fn has_abandoned_body(&self) -> bool {
+        self.body_abandoned.get() && self.phase.get() == Phase::Idle
+    }
+
     /// Records that a response whose body ends with the connection is incomplete. Only a reset shows that to
     /// the client.
     pub fn mark_truncated(&self) {
--- a/src/net/http/clients/limits.rs
+++ b/src/net/http/clients/limits.rs
@@ -28,13 +28,20 @@
 /// response may be in transit.
 pub const EVICTION_MIN_AGE: Duration = Duration::from_millis(50);
 
+/// While the table is full and a connection before its first request is younger than this, no more are accepted: the tasks
+/// of those that have just been accepted run first, and most are soon over.
+pub(super) const YOUNG_CONNECTION_AGE: Duration = Duration::from_millis(25);
+
 /// How long the client of an upload must have sent nothing before the upload gives way to others.
 pub const MIN_SHED_STALL: Duration = Duration::from_secs(1);
 
-/// Uploads that have not arrived whole may hold one part in this many of the connections for which there is memory. The
-/// others serve requests that are soon over.
+/// Uploads that have not arrived whole may hold one part in this many of the connections for which there is memory.
 pub(super) const UPLOAD_CONNECTIONS_DIVISOR: usize = 2;
 
+/// One part in this many of the connections for which there is memory is held neither by such uploads nor by streamed
+/// responses, but serves requests that are soon over.
+pub(super) const SHORT_REQUESTS_DIVISOR: usize = 3;
+
 /// How many requests are read ahead of the one that a handler is processing. Clients send one request at a time, and
 /// the HTTP library takes several KiB for a decoded head of a few hundred bytes.
 pub const MAX_PIPELINED_HEADS: usize = 4;
--- a/src/net/http/clients/mod.rs
+++ b/src/net/http/clients/mod.rs
@@ -24,4 +24,4 @@
 };
 pub use shedding::ShedCounters;
 pub use stream::ClientStream;
-pub use table::{ConnectionTable, ConnectionUsage, UploadSlot};
+pub use table::{ConnectionSlot, ConnectionTable, ConnectionUsage};
--- a/src/net/http/clients/shedding.rs
+++ b/src/net/http/clients/shedding.rs
@@ -2,7 +2,7 @@
 //! uploads whose clients have stopped.
 
 use super::connection::{ClientConnection, Phase};
-use super::limits::{EVICTION_MIN_AGE, MIN_SHED_STALL};
+use super::limits::{EVICTION_MIN_AGE, MIN_SHED_STALL, YOUNG_CONNECTION_AGE};
 use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -22,6 +22,8 @@
     pub rejected: u64,
     /// Uploads that were answered with 503 at their start, because others held all that uploads may hold.
     pub refused_uploads: u64,
+    /// Reads that were answered with 503 in place of a long response, for the same reason.
+    pub refused_responses: u64,
 }
 
 /// A counter that the connections of one thread share.
@@ -49,13 +51,29 @@
     Open,
 }
 
+impl Evictable {
+    fn includes(self, connection: &ClientConnection) -> bool {
+        self == Evictable::Any || connection.phase() != Phase::Closing
+    }
+}
+
+/// Whether a connection will make room within [`YOUNG_CONNECTION_AGE`]: its first request may still come and be over by
+/// then, or its last response has been given.
+pub(super) fn will_make_room(connections: &Connections) -> bool {
+    let now = Instant::now();
+    connections.values().any(|connection| {
+        let may_end =
+            matches!(connection.phase(), Phase::Silent | Phase::Head) || connection.has_abandoned_body();
+        may_end && connection.phase_age(now) < YOUNG_CONNECTION_AGE
+    })
+}
+
 /// The connection to evict for a new one: the one that has been closing for longest, else the one silent for
 /// longest, else the one idle for longest, else the one whose head has taken longest.
 pub(super) fn eviction_candidate(connections: &Connections, evictable: Evictable) -> Option<u64> {
     let now = Instant::now();
     let settled = connections.iter().filter(|(_, connection)| {
-        connection.phase_age(now) >= EVICTION_MIN_AGE
-            && (evictable == Evictable::Any || connection.phase() != Phase::Closing)
+        connection.phase_age(now) >= EVICTION_MIN_AGE && evictable.includes(connection)
     });
     let ranked = settled.filter_map(|(id, connection)| {
         let rank = eviction_rank(connection.phase_for_eviction())?;
--- a/src/net/http/clients/stream.rs
+++ b/src/net/http/clients/stream.rs
@@ -82,6 +82,9 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.connection.has_abandoned_body() {
+            return Poll::Ready(Ok(()));
+        }
         let filled_before = buf.filled().len();
         let read = self.reader.poll_read(cx, buf);
         let received = buf.filled().len() > filled_before;
--- a/src/net/http/clients/table.rs
+++ b/src/net/http/clients/table.rs
@@ -4,12 +4,12 @@
 use super::connection::{ClientConnection, Phase};
 use super::limits::{
     HEAD_TIMEOUT, IDLE_TIMEOUT, MAX_REJECTING, MAX_UNREGISTERED, REJECT_LINGER, REJECT_RESPONSE,
-    SURPLUS_IDLE_TIMEOUT, UNCROWDED_DIVISOR, UNCROWDED_IDLE_TIMEOUT, UPLOAD_CONNECTIONS_DIVISOR,
-    WRITE_TIMEOUT,
+    SHORT_REQUESTS_DIVISOR, SURPLUS_IDLE_TIMEOUT, UNCROWDED_DIVISOR, UNCROWDED_IDLE_TIMEOUT,
+    UPLOAD_CONNECTIONS_DIVISOR, WRITE_TIMEOUT,
 };
 use super::open_streams::{CountedStream, OpenStreams};
 use super::shedding::{
-    Connections, Evictable, SharedCounters, ShedCounters, eviction_candidate, stalled_upload,
+    Connections, Evictable, SharedCounters, ShedCounters, eviction_candidate, stalled_upload, will_make_room,
 };
 use super::stream::ClientStream;
 use crate::net::budget::{MemoryBudgets, MemoryUse};
@@ -54,7 +54,9 @@
     /// Connections for which there is memory: all but those that are being closed.
     memory_capacity: usize,
     /// Uploads that have not arrived whole.
-    uploads: Cell<usize>,
+    uploads: Rc<Cell<usize>>,
+    /// Responses that are streamed.
+    responses: Rc<Cell<usize>>,
     shed: SharedCounters,
     connections: RefCell<Connections>,
 }
@@ -82,7 +84,8 @@
             open_streams: Rc::default(),
             memory,
             memory_capacity,
-            uploads: Cell::default(),
+            uploads: Rc::default(),
+            responses: Rc::default(),
             shed: SharedCounters::default(),
             connections: RefCell::default(),
         }))
@@ -107,11 +110,27 @@
         usage
     }
 
-    /// Whether a new connection may be accepted: not while [`MAX_UNREGISTERED`] that are not in the table are
-    /// open.
+    /// Whether a new connection may be accepted: not while [`MAX_UNREGISTERED`] that are not in the table are open, and
+    /// not while the table is full and others have just been accepted. New ones wait in the system's queue for that time:
+    /// it is much shorter than their clients' patience, and a rejection would be final.
     pub fn may_accept(&self) -> bool {
         let unregistered = self.0.open_streams.count().saturating_sub(self.open_connections());
-        unregistered < MAX_UNREGISTERED
+        if unregistered >= MAX_UNREGISTERED {
+            return false;
+        }
+        let Some(evictable) = self.full_of() else { return true };
+        let connections = self.0.connections.borrow();
+        eviction_candidate(&connections, evictable).is_some() || !will_make_room(&connections)
+    }
+
+    /// Which connections have to give way before a new one is accepted; `None`: there is room.
+    fn full_of(&self) -> Option<Evictable> {
+        if self.open_connections() >= self.0.capacity.get() {
+            return Some(Evictable::Any);
+        }
+        let full = self.open_connections() >= self.0.memory_capacity
+            && self.active_connections() >= self.0.memory_capacity;
+        full.then_some(Evictable::Open)
     }
 
     /// Resolves once a connection has been closed, possibly before the call. Cancel safe.
@@ -153,15 +172,34 @@
 
     /// Counts an upload that has not arrived whole until the slot is dropped. `None`: there are as many as may be; the one
     /// whose client has stopped for longest gives way, for the next.
-    pub fn begin_upload(&self) -> Option<UploadSlot> {
-        let capacity = self.memory_capacity() / UPLOAD_CONNECTIONS_DIVISOR;
-        if self.0.uploads.get() >= capacity.max(1) {
+    pub fn begin_upload(&self) -> Option<ConnectionSlot> {
+        let capacity = (self.memory_capacity() / UPLOAD_CONNECTIONS_DIVISOR).max(1);
+        if self.0.uploads.get() >= capacity || !self.may_hold_another() {
             self.0.shed.record(|counters| counters.refused_uploads += 1);
             self.shed_stalled_upload();
             return None;
         }
-        self.0.uploads.set(self.0.uploads.get() + 1);
-        Some(UploadSlot(self.clone()))
+        Some(ConnectionSlot::new(&self.0.uploads))
+    }
+
+    /// Counts a response that is streamed until the slot is dropped. `None`: there are as many as may be, or no memory.
+    /// One that must not be refused is counted all the same.
+    pub fn begin_response(&self, may_be_refused: bool) -> Option<ConnectionSlot> {
+        let refused = may_be_refused
+            && !(self.may_hold_another() && self.0.memory.bound.admits(MemoryUse::MoreContent));
+        if refused {
+            self.0.shed.record(|counters| counters.refused_responses += 1);
+            self.shed_stalled_upload();
+            return None;
+        }
+        Some(ConnectionSlot::new(&self.0.responses))
+    }
+
+    /// Whether another upload or response may hold a connection for long.
+    fn may_hold_another(&self) -> bool {
+        let capacity = self.memory_capacity();
+        let held = self.0.uploads.get() + self.0.responses.get();
+        held < (capacity - capacity / SHORT_REQUESTS_DIVISOR).max(1)
     }
 
     /// Connections that may be open at once, beside those that are being closed.
@@ -212,12 +250,7 @@
 
     /// Makes room for a new connection. Returns false if there is none.
     fn make_room(&self) -> bool {
-        if self.open_connections() >= self.0.capacity.get() && !self.evict_one() {
-            return false;
-        }
-        let has_place = self.open_connections() < self.0.memory_capacity
-            || self.active_connections() < self.0.memory_capacity
-            || self.evict(Evictable::Open);
+        let has_place = self.full_of().is_none_or(|evictable| self.evict(evictable));
         if !has_place {
             // Its place is free once its handler has run; the next connection finds it.
             self.shed_stalled_upload();
@@ -331,12 +364,19 @@
     }
 }
 
-/// Counts an upload that has not arrived whole until it is dropped.
+/// Counts an upload or a response that holds a connection for long, until it is dropped.
 #[derive(Debug)]
-pub struct UploadSlot(ConnectionTable);
+pub struct ConnectionSlot(Rc<Cell<usize>>);
+
+impl ConnectionSlot {
+    fn new(held: &Rc<Cell<usize>>) -> ConnectionSlot {
+        held.set(held.get() + 1);
+        ConnectionSlot(Rc::clone(held))
+    }
+}
 
-impl Drop for UploadSlot {
+impl Drop for ConnectionSlot {
     fn drop(&mut self) {
-        self.0.0.uploads.set(self.0.0.uploads.get() - 1);
+        self.0.set(self.0.get() - 1);
     }
 }
--- a/src/net/http/handler.rs
+++ b/src/net/http/handler.rs
@@ -1,6 +1,6 @@
 //! Handles one request of an HTTP client.
 
-use super::clients::ClientConnection;
+use super::clients::{ClientConnection, ConnectionSlot};
 use super::message::{self, MAX_BODY_BYTES};
 use super::request_body::RequestBody;
 use super::response_body::HttpBody;
@@ -9,7 +9,7 @@
 use crate::net::Phase;
 use crate::net::budget::MemoryUse;
 use actix_http::body::{BodySize, MessageBody};
-use actix_http::header::{CONTENT_LENGTH, HeaderMap};
+use actix_http::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use actix_http::{ConnectionType, Method, Request, Response as HttpResponse, StatusCode, Version};
 use std::fmt::Display;
 use std::rc::Rc;
@@ -34,7 +34,10 @@
     let connection = request.conn_data::<Rc<ClientConnection>>().cloned();
     let active = connection.as_ref().map(ClientConnection::begin_request);
     let headers = take_headers(&mut request);
-    let mut response = respond_with_content(&front, &mut request, headers, connection.as_ref()).await;
+    let has_body =
+        declared_length(&headers).is_some_and(|length| length > 0) || headers.contains_key(TRANSFER_ENCODING);
+    let response = respond_with_content(&front, &mut request, headers, connection.as_ref()).await;
+    let (mut response, slot) = hold_connection(&front, &request, response);
     if *front.closing.borrow() || *front.phase.borrow() == Phase::Draining {
         response.head_mut().set_connection_type(ConnectionType::Close);
     }
@@ -45,11 +48,32 @@
         response.head_mut().no_chunking(true);
         response.head_mut().set_connection_type(ConnectionType::Close);
     }
+    if let Some(connection) =
+        connection.as_ref().filter(|connection| has_body && !connection.is_request_complete())
+    {
+        connection.abandon_body();
+    }
     if let Some(connection) = &connection {
         mark_last_response(connection, &mut response, is_close_delimited);
     }
     let delimiting_connection = connection.filter(|_| is_close_delimited);
-    response.map_body(|_, content| HttpBody::new(content, active, delimiting_connection))
+    response.map_body(|_, content| HttpBody::new(content, active, slot, delimiting_connection))
+}
+
+/// Counts the connection of a response that is streamed as held. The response to a read is refused in its place while
+/// others hold as many as may be, unless it is short: that is soon over. A write may have run, so its response is passed
+/// on.
+fn hold_connection(
+    front: &Front,
+    request: &Request,
+    response: ContentResponse,
+) -> (ContentResponse, Option<ConnectionSlot>) {
+    let ResponseBody::Streamed(body) = response.body() else { return (response, None) };
+    let is_long = body.length.is_none_or(|length| length > MAX_BUFFERED_BODY as u64);
+    match front.clients.begin_response(is_long && request.method() == Method::GET) {
+        Some(slot) => (response, Some(slot)),
+        None => (no_capacity(), None),
+    }
 }
 
 /// Takes the headers out of a request, to be dropped once they are decoded. The HTTP library would keep them until the
--- a/src/net/http/request_body.rs
+++ b/src/net/http/request_body.rs
@@ -69,6 +69,9 @@
         let chunk = chunk.map_err(|_| message::empty_response(StatusCode::REQUEST_TIMEOUT))?;
         let chunk = chunk.transpose().map_err(|_| message::empty_response(StatusCode::BAD_REQUEST))?;
         self.bytes_read += chunk.as_ref().map_or(0, |chunk| chunk.len() as u64);
+        if chunk.is_none() || self.declared_length == Some(self.bytes_read) {
+            self.connection.iter().for_each(|connection| connection.complete_request());
+        }
         if self.bytes_read > MAX_BODY_BYTES {
             return Err(message::empty_response(StatusCode::PAYLOAD_TOO_LARGE));
         }
--- a/src/net/http/response_body.rs
+++ b/src/net/http/response_body.rs
@@ -1,6 +1,6 @@
 //! The body of a response while it is sent to its client.
 
-use super::clients::{ActiveRequest, ClientConnection};
+use super::clients::{ActiveRequest, ClientConnection, ConnectionSlot};
 use crate::core::{IncompleteBody, ResponseBody};
 use actix_http::body::{BodySize, MessageBody};
 use bytes::Bytes;
@@ -20,6 +20,8 @@
     chunk: Bytes,
     #[expect(dead_code, reason = "held for its drop")]
     active_request: Option<ActiveRequest>,
+    #[expect(dead_code, reason = "held for its drop")]
+    slot: Option<ConnectionSlot>,
     /// The connection, if its close marks the end of the body. An incomplete body then ends with a reset,
     /// since it would look complete otherwise.
     delimiting_connection: Option<Rc<ClientConnection>>,
@@ -29,9 +31,10 @@
     pub(super) fn new(
         content: ResponseBody,
         active_request: Option<ActiveRequest>,
+        slot: Option<ConnectionSlot>,
         delimiting_connection: Option<Rc<ClientConnection>>,
     ) -> HttpBody {
-        HttpBody { content, chunk: Bytes::new(), active_request, delimiting_connection }
+        HttpBody { content, chunk: Bytes::new(), active_request, slot, delimiting_connection }
     }
 }
 
--- a/src/net/http/server.rs
+++ b/src/net/http/server.rs
@@ -16,9 +16,12 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::time::sleep;
 
 /// Interval between checks for connections that exceed a timeout: half of the shortest one.
 const OVERDUE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval between checks for room while new connections wait in the system's queue.
+const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// How long the rest of a request is read if its response came before all of it. Closing over unread bytes
 /// would reset the connection, and the client would lose the response.
 const LINGER: Duration = Duration::from_secs(1);
@@ -59,6 +62,7 @@
         let accepted = tokio::select! {
             accepted = listener.accept(), if accepting && front.clients.may_accept() => accepted,
             () = front.clients.connection_closed(), if !front.clients.may_accept() => continue,
+            () = sleep(ROOM_CHECK_INTERVAL), if !front.clients.may_accept() => continue,
             Ok(()) = phase.changed() => continue,
             _ = overdue_check.tick() => {
                 front.clients.end_overdue();
--- a/src/scheduler/retry.rs
+++ b/src/scheduler/retry.rs
@@ -45,9 +45,9 @@
 
 impl Scheduler {
     /// Handles an attempt that was not served: queues the request for a retry, or gives it its final
-    /// response. The request is retried unless it has no attempts or no time left, its client will not send the
-    /// rest of its body, or it may not run again at the target that failed. Nothing is done if it has its final response, if its response is being passed
-    /// to its client, or if it is already queued.
+    /// response. The request is retried unless it has no attempts or no time left, its client will not send
+    /// the rest of its body, or it may not run again at the target that failed. Nothing is done if it has its
+    /// final response, if its response is being passed to its client, or if it is already queued.
     pub(super) fn retry_or_finish(
         &mut self,
         now: Micros,
