Hold the memory of a connection to what is allocated for each kind of client

The number of connections follows from 40 KB for each, which no test held to a figure. The test opens 100 connections of a kind and reads what the allocator holds, less what the budgets for content count.

The budget stays at 40 KB.

--- a/tests/network/memory.rs
+++ b/tests/network/memory.rs
@@ -354,3 +354,70 @@
         assert!(line.contains(&format!(" limit={limit} ")) && line.contains(" clients_busy=1 "), "{line}");
     });
 }
+
+/// The figures of the line that tells the memory by part.
+async fn memory_by_part(daemon: &Daemon) -> impl Fn(&str) -> i64 {
+    let lines =
+        || daemon.log().into_iter().filter(|line| line.contains("memory by part")).collect::<Vec<_>>();
+    let before = lines().len();
+    daemon.signal(Signal::SIGUSR1).expect("the process runs");
+    let line = loop {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        if let Some(line) = lines().get(before) {
+            break line.clone();
+        }
+    };
+    move |name| {
+        let value = line.split(&format!(" {name}=")).nth(1).and_then(|rest| rest.split(' ').next());
+        value.and_then(|value| value.parse().ok()).unwrap_or_else(|| panic!("no {name} in {line}"))
+    }
+}
+
+// Guards against a budget for connections below what they take: the number of connections is derived from the memory of one,
+// which no test held to what is really allocated.
+#[test]
+fn a_connection_of_each_kind_of_client_takes_no_more_than_its_budget() {
+    /// What a connection may take beside what the budgets for content count.
+    const CONNECTION_BYTES: i64 = 40 << 10;
+    const CONNECTIONS: i64 = 100;
+    const FIELDS: usize = 85;
+    let half_head = |_: i64| "GET /view/00000003b4d60021/7f3a".to_string();
+    let many_fields = |number: i64| {
+        let text = write_behind_fields(&format!("f{number}"), FIELDS, 1, 0);
+        text[..text.len() - 2].to_string()
+    };
+    let stopped_short = |number: i64| write_behind_fields(&format!("s{number}"), FIELDS, 9_000, 4_000);
+    let long_response = |number: i64| request("view", &format!("r{number}"), 0, "");
+    let kinds: [(&str, &dyn Fn(i64) -> String); 5] = [
+        ("silent", &|_| String::new()),
+        ("half a head", &half_head),
+        ("many fields", &many_fields),
+        ("many fields and half a body", &stopped_short),
+        ("unread long response", &long_response),
+    ];
+    for (kind, text) in kinds {
+        run_test(async {
+            let (_site, daemon, _) = start_daemon_before_endless_target().await;
+            let before = memory_by_part(&daemon).await;
+            let mut clients = Vec::new();
+            for number in 0..CONNECTIONS {
+                let socket = TcpSocket::new_v4().expect("a socket");
+                socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES as u32).expect("the buffer is set");
+                let mut client = socket.connect(daemon.http).await.expect("connected");
+                client.write_all(text(number).as_bytes()).await.expect("written");
+                clients.push(client);
+            }
+            tokio::time::sleep(HOLD).await;
+            let with_clients = memory_by_part(&daemon).await;
+            let more = |name: &str| with_clients(name) - before(name);
+            let open = more("clients_busy") + more("clients_waiting");
+            let counted = more("bodies") + more("responses") + more("heads");
+            let (allocated, resident) = (more("allocated") / open, more("resident") / open);
+            println!(
+                "{kind}: {open} open, {allocated} bytes allocated, {resident} resident, {} counted",
+                counted / open
+            );
+            assert!(allocated - counted / open <= CONNECTION_BYTES, "{kind}: {allocated} bytes");
+        });
+    }
+}
