--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -366,24 +366,47 @@
 pub struct Discovery {
     pub addr: SocketAddr,
     list: Arc<(Mutex<List>, Condvar)>,
+    record: Record,
+    /// Set once discovery has moved to another address.
+    moved: Flag,
 }
 
 impl Discovery {
     pub fn start(record: &Record) -> Discovery {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("discovery listener");
-        let addr = listener.local_addr().unwrap();
         let list: Arc<(Mutex<List>, Condvar)> = Arc::default();
         list.0.lock().unwrap().version = 1;
-        let (shared, record) = (Arc::clone(&list), record.clone());
+        Discovery::listen(list, record.clone())
+    }
+
+    fn listen(list: Arc<(Mutex<List>, Condvar)>, record: Record) -> Discovery {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("discovery listener");
+        let addr = listener.local_addr().unwrap();
+        let moved = Flag::default();
+        let (shared, log, gone) = (Arc::clone(&list), record.clone(), moved.clone());
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (shared, record) = (Arc::clone(&shared), record.clone());
+                if gone.is_set() {
+                    return;
+                }
+                let (shared, log, gone) = (Arc::clone(&shared), log.clone(), gone.clone());
                 std::thread::spawn(move || {
-                    let _ = serve_discovery(stream, &shared, &record);
+                    let _ = serve_discovery(stream, &shared, &log, &gone);
                 });
             }
         });
-        Discovery { addr, list }
+        Discovery { addr, list, record, moved }
+    }
+
+    /// Moves to a new address: the old one accepts no new connection, and ends open ones 1.5 s later.
+    pub fn move_address(&mut self) {
+        let next = Discovery::listen(Arc::clone(&self.list), self.record.clone());
+        let old = std::mem::replace(self, next);
+        std::thread::spawn(move || {
+            old.moved.set();
+            let _ = TcpStream::connect(old.addr);
+            sleep_ms(1_500);
+            old.list.1.notify_all();
+        });
     }
 
     /// Adds or changes entries, in one version.
@@ -432,10 +455,13 @@
     format!(r#"{{"version":{},"full":{},"servers":[{}]}}"#, list.version, from.is_none(), entries.join(","))
 }
 
-fn serve_discovery(stream: TcpStream, shared: &(Mutex<List>, Condvar), record: &Record) -> io::Result<()> {
+fn serve_discovery(stream: TcpStream, shared: &(Mutex<List>, Condvar), record: &Record, moved: &Flag) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut reader = Reader::new(stream);
     while let Some(message) = reader.message(false)? {
+        if moved.is_set() {
+            return Ok(());
+        }
         let query = message.path().split_once('?').map_or("", |(_, query)| query).to_string();
         let number = |name: &str| {
             let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
