--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -8,7 +8,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex, OnceLock};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -281,7 +281,8 @@
             body: message.body.clone(),
             at: now_ms(),
         };
-        record.line(format!("target {name} received {} {} id={}", run.method, run.path, run.id));
+        let left = message.header("x-time-left-ms").unwrap_or("-");
+        record.line(format!("target {name} received {} {} id={} time left {left} ms", run.method, run.path, run.id));
         runs.lock().unwrap().push(run.clone());
         let answer = match handler(&run) {
             Act::Serve(ms, body) => {
@@ -353,8 +354,6 @@
     version: u64,
     /// Discovery is down: each call ends with a closed connection and no answer.
     down: bool,
-    /// Calls that are open or come now are never answered.
-    silent: bool,
     /// When the last call came, by [`now_ms`], and how many have come.
     last_call: f64,
     calls: u64,
@@ -427,12 +426,6 @@
         self.list.1.notify_all();
     }
 
-    /// Makes it silent: open calls, and those that come meanwhile, are never answered, also not after its return.
-    pub fn set_silent(&self, silent: bool) {
-        self.list.0.lock().unwrap().silent = silent;
-        self.list.1.notify_all();
-    }
-
     /// When the last call came, and how many have come.
     pub fn calls(&self) -> (f64, u64) {
         let list = self.list.0.lock().unwrap();
@@ -471,7 +464,7 @@
         let until = Instant::now() + Duration::from_millis(number("hold_ms").unwrap_or(0).min(60_000));
         let mut list = shared.0.lock().unwrap();
         (list.last_call, list.calls) = (now_ms(), list.calls + 1);
-        while !list.down && !list.silent && from.is_some_and(|from| list.version <= from) && Instant::now() < until {
+        while !list.down && from.is_some_and(|from| list.version <= from) && Instant::now() < until {
             let left = until.saturating_duration_since(Instant::now());
             list = shared.1.wait_timeout(list, left).unwrap().0;
         }
@@ -481,13 +474,6 @@
             let _ = reader.stream.shutdown(Shutdown::Both);
             return Ok(());
         }
-        if list.silent {
-            drop(list);
-            record.line(format!("discovery is silent: a call from {from:?} is not answered"));
-            let mut rest = [0; 256];
-            while reader.stream.read(&mut rest)? > 0 {}
-            return Ok(());
-        }
         let (body, version) = (page(&list, from), list.version);
         drop(list);
         let head = format!("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n", body.len());
@@ -544,9 +530,18 @@
     )
 }
 
-/// A loopback address that is free now.
+/// A loopback address that is free now, below the ports that systems give out by themselves: connections of other
+/// programs don't take it before the process does.
 pub fn free_addr() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    loop {
+        let step = NEXT.fetch_add(1, Ordering::Relaxed) * 7;
+        let port = 10_000 + (std::process::id() as usize * 131 + step) % 20_000;
+        let addr = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(addr).is_ok() {
+            return addr;
+        }
+    }
 }
 
 /// The folder of a case, removed at its end.
