Tell the core and the scheduler of the end of the process when a shutdown starts

Cause: the core heard of the end in one message, 100 ms before it. That failed what was open at that instant; nothing in the state of the core or of the scheduler said that the process was ending, so what came later was admitted, sent and left by the exit.

Change: from SIGTERM on both know when the last responses are due, and no request has a deadline behind that time, whether it is open already or arrives later. Refusal on arrival, the time told to targets, queues, retries, the last check and the watchdog follow from the deadline. Nothing is admitted or sent that is predicted to be served later, background work included; a streamed body, whose own deadline does not apply, is failed by the watchdog at that time.

--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -211,7 +211,7 @@
                 self.submit(id, request, arrived, response);
             }
             Message::ClientGone(id) => self.handle_client_gone(id),
-            Message::Shutdown => self.fail_all_requests(),
+            Message::Shutdown { responses_due } => self.begin_shutdown(responses_due),
             Message::Status => self.log_status(),
             // The receiver may have stopped waiting.
             Message::ListTargets(answer) => drop(answer.send(self.routes.targets().cloned().collect())),
--- a/src/core/actor/requests.rs
+++ b/src/core/actor/requests.rs
@@ -28,6 +28,7 @@
         self.diagnostics.record_submission(arrived);
         let (arrived, submitted) = (self.clock.at(arrived), self.clock.now());
         let deadline = arrived + micros(request.time_left.min(MAX_TIME_LEFT));
+        let deadline = self.open_requests.deadline_before_shutdown(deadline);
         let target_set = self.routes.acquire(&request);
         self.publish_target_sets();
         let profile = self.build_profile(id, &request, deadline, target_set);
@@ -82,8 +83,16 @@
         }
     }
 
-    /// Fails all open requests before the process exits.
-    pub(super) fn fail_all_requests(&mut self) {
+    /// Brings the deadlines of all requests forward to the process's last response, also of those that arrive later.
+    pub(super) fn begin_shutdown(&mut self, responses_due: Instant) {
+        let responses_due = self.clock.at(responses_due);
+        self.open_requests.begin_shutdown(responses_due);
+        self.apply_event(Event::ShutdownStarted { responses_due });
+    }
+
+    /// Fails all requests that are open when the process's last responses are overdue, among them those whose
+    /// deadline does not apply while their body is streamed.
+    fn fail_all_requests(&mut self) {
         for id in self.open_requests.ids() {
             if self.finish_request(id, Some(Response::Failed)) {
                 self.apply_event(Event::ClientGone { id });
@@ -99,6 +108,9 @@
             self.finish_request(id, Some(Response::Failed));
             self.apply_event(Event::ClientGone { id });
         }
+        if self.open_requests.last_responses_overdue(now) {
+            self.fail_all_requests();
+        }
     }
 
     /// Finishes a request, with a response unless its client has disconnected. Returns false if it was
--- a/src/core/message.rs
+++ b/src/core/message.rs
@@ -25,8 +25,11 @@
     },
     /// A request's client has disconnected.
     ClientGone(RequestId),
-    /// The process is shutting down: fail all open requests.
-    Shutdown,
+    /// The process is shutting down: each request that is open or still arrives has its response by this time.
+    Shutdown {
+        /// When the response to each request is due at the latest.
+        responses_due: Instant,
+    },
     /// Write a summary of the core's state to the log.
     Status,
     /// Return the listed targets.
@@ -105,7 +108,7 @@
         match self {
             Message::Submit { .. } => Step::Submit,
             Message::ClientGone(_) => Step::ClientGone,
-            Message::Shutdown => Step::Shutdown,
+            Message::Shutdown { .. } => Step::Shutdown,
             Message::Status | Message::ListTargets(_) => Step::Status,
             Message::QuotaDatagram(..) => Step::Peer,
             Message::BodyStarted { .. } | Message::MayStart { .. } | Message::ResponseStarted { .. } => {
--- a/src/core/open_requests.rs
+++ b/src/core/open_requests.rs
@@ -120,6 +120,8 @@
     requests: HashMap<RequestId, OpenRequest>,
     /// The requests whose deadline is watched, ordered by the time at which the watchdog fails them.
     watchdog: BTreeSet<(Micros, RequestId)>,
+    /// When the response to each request is due at the latest; absent: no shutdown has begun.
+    responses_due: Option<Micros>,
     request_ids: RequestIds,
     /// The number of requests without a response, shared with [`CoreHandle`](crate::core::CoreHandle).
     unanswered: Rc<Cell<usize>>,
@@ -128,7 +130,13 @@
 impl OpenRequests {
     /// Creates an empty set. The ids and the count are shared with [`CoreHandle`](crate::core::CoreHandle).
     pub(super) fn new(request_ids: RequestIds, unanswered: Rc<Cell<usize>>) -> OpenRequests {
-        OpenRequests { requests: HashMap::new(), watchdog: BTreeSet::new(), request_ids, unanswered }
+        OpenRequests {
+            requests: HashMap::new(),
+            watchdog: BTreeSet::new(),
+            responses_due: None,
+            request_ids,
+            unanswered,
+        }
     }
 
     /// The number of requests without a response.
@@ -206,7 +214,31 @@
 
     /// When the deadline watchdog is due next.
     pub(super) fn next_wake(&self) -> Option<Micros> {
-        self.watchdog.first().map(|(at, _)| *at)
+        let last_responses = self.responses_due.filter(|_| self.unanswered() > 0);
+        let last_responses = last_responses.map(|due| due + WATCHDOG_DELAY);
+        [self.watchdog.first().map(|(at, _)| *at), last_responses].into_iter().flatten().min()
+    }
+
+    /// Ends the deadlines of all requests by `responses_due`, when the process makes its last responses. The watchdog
+    /// then fails what is open, including requests whose own deadline is not watched.
+    pub(super) fn begin_shutdown(&mut self, responses_due: Micros) {
+        let responses_due = self.deadline_before_shutdown(responses_due);
+        self.responses_due = Some(responses_due);
+        for (id, request) in self.requests.iter_mut().filter(|(_, request)| request.deadline > responses_due)
+        {
+            self.watchdog.remove(&(request.deadline + WATCHDOG_DELAY, *id));
+            request.deadline = responses_due;
+        }
+    }
+
+    /// The deadline of a request whose client waits until `deadline`.
+    pub(super) fn deadline_before_shutdown(&self, deadline: Micros) -> Micros {
+        self.responses_due.map_or(deadline, |responses_due| deadline.min(responses_due))
+    }
+
+    /// Whether the process has made its last responses, so that a request without one fails.
+    pub(super) fn last_responses_overdue(&self, now: Micros) -> bool {
+        self.unanswered() > 0 && self.responses_due.is_some_and(|due| due + WATCHDOG_DELAY <= now)
     }
 
     /// The request whose watchdog time passed first; `None` if no watchdog time has passed.
--- a/src/initiator/run.rs
+++ b/src/initiator/run.rs
@@ -15,9 +15,8 @@
 /// Idle client connections stay open after SIGTERM, because no other process serves these clients until the
 /// next start. They are closed this long before the deadline, which leaves time to finish open requests.
 const FINAL_RESPONSE_TIME: Duration = Duration::from_millis(900);
-/// Requests that are still open this long before the deadline are failed, so that each client receives a
-/// final response.
-const FAIL_MARGIN: Duration = Duration::from_millis(100);
+/// The response to every request is due this long before the deadline, which leaves time to write it.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
 /// How long the access log's last lines may take to be written.
 const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
 /// How often the shutdown checks whether connections and requests are left.
@@ -74,7 +73,7 @@
             () = stop => {}
         }
 
-        let shutdown = Shutdown::begin(self.core, clients, self.shutdown_time);
+        let shutdown = Shutdown::begin(self.core, clients, self.shutdown_time).await;
         begin_shutdown_phase(&self.phase);
         ending.send_replace(true);
         shutdown.serve_remaining_clients(front).await;
@@ -116,10 +115,13 @@
 }
 
 impl Shutdown {
-    fn begin(core: CoreHandle, clients: http::ConnectionTable, time: Duration) -> Shutdown {
+    /// Starts a shutdown that takes at most `time`, and tells the core when its last responses are due.
+    async fn begin(core: CoreHandle, clients: http::ConnectionTable, time: Duration) -> Shutdown {
         let started_at = Instant::now();
+        let deadline = started_at + time;
         tracing::info!(open = core.open_requests(), "shutdown started");
-        Shutdown { core, clients, started_at, deadline: started_at + time }
+        core.send(Message::Shutdown { responses_due: deadline - RESPONSE_MARGIN }).await;
+        Shutdown { core, clients, started_at, deadline }
     }
 
     /// Continues to serve connected clients until all have disconnected, or until it is time for the final
@@ -137,13 +139,10 @@
         // Dropping the future at the end of this function closes the listener.
     }
 
-    /// Waits for open requests, and fails those that are still open shortly before the deadline.
+    /// Waits for open requests. The core responds to each shortly before the deadline at the latest.
     async fn finish_requests(&self) {
         // Sessions have been asked to log out. A session without open requests does not delay the shutdown.
-        if timeout_at(self.deadline - FAIL_MARGIN, self.wait_until_idle()).await.is_err() {
-            self.core.send(Message::Shutdown).await;
-            let _ = timeout_at(self.deadline, self.wait_until_idle()).await;
-        }
+        let _ = timeout_at(self.deadline, self.wait_until_idle()).await;
     }
 
     fn finish(self, sessions: usize) {
--- a/src/interface/events.rs
+++ b/src/interface/events.rs
@@ -128,6 +128,11 @@
         /// Whether this process is the owner. If not, it sends nothing that would spend them.
         owned_here: bool,
     },
+    /// This process ends at a known time.
+    ShutdownStarted {
+        /// When the response to each request is due at the latest, whatever its deadline.
+        responses_due: Micros,
+    },
     /// A timer set by [`Action::SetTimer`](super::Action::SetTimer) is due.
     TimerFired {
         /// The token of the timer. The token of a timer that an earlier one has replaced is ignored.
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -45,6 +45,7 @@
 mod request;
 mod responses;
 mod retry;
+mod shutdown;
 mod slow_start;
 pub mod snapshot;
 mod stalled_attempts;
@@ -98,6 +99,8 @@
     slow_start: SlowStartRule,
     random: RandomDraws,
     ownership: Ownership,
+    /// When all responses of this process are due at the latest; absent: no shutdown has started.
+    responses_due: Option<Micros>,
     /// Requests without a final response, and finished ones with an attempt in flight.
     requests: BTreeMap<RequestId, RequestState>,
     /// The requests without a final response whose deadline still applies, earliest deadline first.
@@ -164,6 +167,7 @@
             Event::QuotaReceived { volume, units } => self.quota.receive(now, volume, units),
             Event::ProbeEnded { .. } => {}
             Event::OwnershipChanged { owned_here } => self.ownership.is_transferred = !owned_here,
+            Event::ShutdownStarted { responses_due } => self.shutdown_started(responses_due),
             Event::TimerFired { token } => {
                 if self.timers.take_if_current(token) {
                     self.tick(now, actions);
--- a/src/scheduler/admission.rs
+++ b/src/scheduler/admission.rs
@@ -81,6 +81,7 @@
     fn new_request(&self, now: Micros, class: usize, profile: &RequestProfile) -> RequestState {
         let settings = &self.settings;
         let RequestProfile { deadline, units, .. } = *profile;
+        let deadline = self.deadline_before_shutdown(deadline);
         let is_size = units.is_finite() && units > 0.0;
         let objective_at = (now + settings.classes[class].latency_objective).min(deadline);
         let initiators =
@@ -121,6 +122,7 @@
 
     /// Decides whether an arriving request is admitted, and queues it if so. The request is rejected if
     ///
+    /// - this process ends before it could pass on the response (shutdown.rs),
     /// - the limit of its volume does not provide its units before its deadline,
     /// - no target of its target set is active, or none that holds its data is,
     /// - it is predicted to miss its objective, or [`EXCESS_OBJECTIVE_FRACTION`] of it if it is beyond its
@@ -132,6 +134,9 @@
     /// Guards against queues in which every request waits until it is late: a rejected client is answered at
     /// once, and can retry elsewhere.
     fn admit(&mut self, now: Micros, id: RequestId) -> Admission {
+        if self.is_too_late_to_respond(now) {
+            return Admission::Rejected;
+        }
         self.choose_shard(now, id);
         let request = &self.requests[&id];
         if self.quota_fills_too_late(now, request) || !self.set_has_active_target(request.target_set) {
@@ -177,6 +182,9 @@
         let request = &self.requests[&id];
         let (class, units) = (request.class, request.units);
         let prediction = self.predict(now, candidate);
+        if self.ends_before(prediction.completes_at) {
+            return Admission::Rejected;
+        }
         let is_late = prediction.completes_at > self.latest_completion(now, request, candidate);
         if self.objectives.is_background(class) {
             let position = if is_late { self.defer_background(now, candidate) } else { candidate.position };
--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -170,7 +170,8 @@
     }
 
     /// The conditions of a send that the passing of time and endpoint updates can invalidate while the
-    /// connection comes up: the request has no final response and has time left, a request that may have run
+    /// connection comes up: the request has no final response and has time left, this process does not end
+    /// before the response, a request that may have run
     /// is sent again only as its class allows, and the target is active and in the request's target set.
     ///
     /// Guards against sends to a target that drains or is removed: no new attempt starts there, and a queued
@@ -178,6 +179,7 @@
     fn may_send(&self, now: Micros, request: &RequestState, target: TargetId) -> bool {
         !request.finished
             && !self.is_out_of_time(now, request)
+            && !self.ends_before_served(now, request, target)
             && self.may_run_again(now, request, target)
             && self.targets.is_active(target)
             && self.target_sets.allows(request.target_set, target)
--- a/tests/network/shutdown.rs
+++ b/tests/network/shutdown.rs
@@ -155,6 +155,45 @@
     });
 }
 
+/// How long a shutdown with [`short_deadlines`] takes at most: the longest deadline and 0.55 s.
+const SHUTDOWN_TIME: Duration = Duration::from_millis(800 + 550);
+
+// Guards against requests that are complete after the process has made its last responses: they were sent to
+// their target, ran there, and the process ended without answering them.
+#[test]
+fn a_request_that_is_complete_in_the_last_moment_of_a_shutdown_is_answered_and_not_forwarded() {
+    const CLIENTS: u64 = 8;
+    run_test(async {
+        let mut target = scripted_server((0..CLIENTS).map(|_| Step::Silence).collect()).await;
+        let initiator =
+            start_initiator_with(&[endpoint_entry(target.addr, 0, "active")], None, None, short_deadlines)
+                .await;
+        let mut streams = Vec::new();
+        for number in 0..CLIENTS {
+            let mut stream = TcpStream::connect(initiator.http).await.expect("connected");
+            let text = request("deposit", &format!("l{number}."), 0, "halved")
+                .replace("key-1", &format!("key-{number}"));
+            write_text(&mut stream, &text[..text.len() - 3]).await;
+            streams.push((stream, text));
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        let stopped_at = tokio::time::Instant::now();
+        initiator.shutdown.send(()).expect("the initiator runs");
+        // One request is complete every 10 ms in the last 95 to 25 ms.
+        let first = stopped_at + SHUTDOWN_TIME - Duration::from_millis(95);
+        let clients = streams.into_iter().enumerate().map(|(i, (mut stream, text))| async move {
+            tokio::time::sleep_until(first + Duration::from_millis(10) * i as u32).await;
+            write_text(&mut stream, &text[text.len() - 3..]).await;
+            read_until_closed(&mut stream).await
+        });
+        for (i, end) in futures_util::future::join_all(clients).await.into_iter().enumerate() {
+            assert!(end.as_ref().is_ok_and(|text| text.starts_with("HTTP/1.1 503 ")), "{i}: {end:?}");
+        }
+        assert!(target.received.try_recv().is_err(), "nothing is forwarded");
+        initiator.task.await.expect("no panic").expect("no error");
+    });
+}
+
 // A request that is in flight when the shutdown's time limit expires fails, so that its client has a
 // response.
 #[test]
