End each connection of a planned restart between requests or with a whole response

Short requests in one write that crossed that close were read and dropped too.

Cause: whether a connection is between requests was asked of the HTTP library, which ends every connection without a handler, also in the middle of a head; and the ordered close reads and discards what comes, also where there is no response that reading would save.

Change: the reader, which sees each byte, says whether a request has begun. 0.1 s before the exit each connection ends as it stands: between requests it is closed and not read any more, a head or body that has begun gets a whole 503, and a request that is handled has its response by then. From 0.5 s before the exit on responses announce the close. Idle connections are served until 0.1 s before the exit (0.9 s before). The schedule is one value in a module of its own. Nothing is sent to targets in the last 50 ms before the last responses.

The test of requests at the moment of the close aims at the new moment; its assertions are as they were.

Before, of the new tests in shutdown, these failed: clients_that_write_heads_slowly..., a_head_that_begins_behind..., uploads_that_are_under_way..., idle_connections_are_served..., a_request_that_crosses..., a_process_that_is_stopped...

--- a/src/initiator.rs
+++ b/src/initiator.rs
@@ -8,6 +8,7 @@
 mod reload;
 mod routes;
 mod run;
+mod shutdown;
 mod sockets;
 mod targets;
 
--- a/src/net/close.rs
+++ b/src/net/close.rs
@@ -38,6 +38,21 @@
     }
 }
 
+/// Shuts writing down and waits until the client has closed its side, without reading: for a connection between
+/// requests. A request that crosses the close stays unread, so that closing the stream resets the connection and the
+/// client knows that nothing of it was read. The caller bounds the time and closes the stream. Cancel safe.
+pub async fn close_between_requests(stream: &TcpStream) {
+    if socket2::SockRef::from(stream).shutdown(Shutdown::Write).is_ok() {
+        read_closed(stream).await;
+    }
+}
+
+/// The number of bytes that the system has received on a connection and that have not been read.
+pub fn unread_bytes(stream: &TcpStream) -> u64 {
+    // The call fails only on what is no open socket; then nothing more arrives.
+    rustix::io::ioctl_fionread(stream).unwrap_or(0)
+}
+
 /// Resolves once the peer has closed its side of the connection or reset it, whether or not bytes that it
 /// sent before are unread or another task reads them.
 ///
--- a/src/net/http/clients/connection.rs
+++ b/src/net/http/clients/connection.rs
@@ -2,7 +2,7 @@
 
 use super::body_reading::BodyReading;
 use super::open_streams::CountedStream;
-use crate::net::close::read_closed;
+use crate::net::close::{read_closed, unread_bytes};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::task::Waker;
@@ -46,6 +46,10 @@
     /// Since when the client has read nothing of what is written to it; `None`: writes make progress.
     write_blocked_since: Cell<Option<Instant>>,
     ended: Cell<bool>,
+    /// Whether the process makes its last responses; see [`ClientConnection::finish`].
+    finishing: Cell<bool>,
+    /// Whether the connection is closed between requests, so that nothing more is read.
+    closes_between_requests: Cell<bool>,
     /// Notified when the connection is evicted while it is closing.
     pub(super) evicted: Notify,
     /// Whether the request that is being handled gives way to others, and its notification.
@@ -75,6 +79,8 @@
             read_closed: Cell::new(false),
             write_blocked_since: Cell::new(None),
             ended: Cell::new(false),
+            finishing: Cell::new(false),
+            closes_between_requests: Cell::new(false),
             evicted: Notify::new(),
             is_shed: Cell::new(false),
             shed: Notify::new(),
@@ -96,6 +102,30 @@
         self.wake_reader();
     }
 
+    /// Ends the connection before the process exits: between requests, or with a whole response to a request that has
+    /// begun. An upload whose last byte has not arrived gives way; a request that is being handled has its response by
+    /// then, and its connection ends after it.
+    pub(super) fn finish(&self) {
+        self.finishing.set(true);
+        self.shed.notify_one();
+        self.wake_reader();
+    }
+
+    /// Whether the process makes its last responses.
+    pub(super) fn is_finishing(&self) -> bool {
+        self.finishing.get()
+    }
+
+    /// Records that the connection is closed between requests.
+    pub(super) fn close_between_requests(&self) {
+        self.closes_between_requests.set(true);
+    }
+
+    /// Whether the connection is closed between requests.
+    pub(super) fn closes_between_requests(&self) -> bool {
+        self.closes_between_requests.get()
+    }
+
     fn wake_reader(&self) {
         if let Some(waker) = self.read_waker.take() {
             waker.wake();
@@ -120,9 +150,12 @@
     /// service, those that are kept, and those that wait in the system's buffer. Requests that are pipelined after the
     /// body count too.
     pub fn arrived_body_bytes(&self) -> u64 {
-        // The call fails only on what is no open socket; then nothing more arrives.
-        let unread = rustix::io::ioctl_fionread(&**self.stream).unwrap_or(0);
-        self.body_reading.passed_on() + self.kept_bytes() as u64 + unread
+        self.body_reading.passed_on() + self.kept_bytes() as u64 + self.unread_bytes()
+    }
+
+    /// The number of bytes that the system has received and that have not been read.
+    pub(super) fn unread_bytes(&self) -> u64 {
+        unread_bytes(&self.stream)
     }
 
     /// Sets the number of bytes that were read and that the HTTP service does not have yet.
@@ -209,11 +242,15 @@
 
     /// Resolves once the upload that is being handled has to give way to others. Cancel safe.
     pub async fn upload_shed(&self) {
-        while !self.is_shed.get() {
+        while !self.gives_way() {
             self.shed.notified().await;
         }
     }
 
+    fn gives_way(&self) -> bool {
+        self.is_shed.get() || (self.finishing.get() && !self.request_complete.get())
+    }
+
     /// How long the client of the upload that is being handled has sent nothing that was waited for; `None`: there is no
     /// such upload, or it gives way already.
     pub(super) fn upload_stall(&self, now: Instant) -> Option<Duration> {
--- a/src/net/http/clients/request_reader.rs
+++ b/src/net/http/clients/request_reader.rs
@@ -63,6 +63,17 @@
     KeptRequests,
 }
 
+/// Where in a client's requests the next byte belongs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RequestPosition {
+    /// To a request of which nothing has been read.
+    BetweenRequests,
+    /// To the head of a request that has begun.
+    InHead,
+    /// Behind a whole head that the HTTP service has not handled yet, or to a request that a handler is processing.
+    AfterHead,
+}
+
 /// Why reading ahead has stopped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ReadAhead {
@@ -117,6 +128,16 @@
         read
     }
 
+    /// Where in the client's requests the next byte belongs.
+    pub(super) fn position(&self) -> RequestPosition {
+        match self.connection.phase() {
+            Phase::Busy => RequestPosition::AfterHead,
+            _ if self.head_bytes > 0 => RequestPosition::InHead,
+            Phase::Head => RequestPosition::AfterHead,
+            Phase::Silent | Phase::Idle | Phase::Closing => RequestPosition::BetweenRequests,
+        }
+    }
+
     /// What may be read now. Without a limit the HTTP service would read, and decode into many times the memory, all
     /// that a client sends ahead of the responses.
     fn allowance(&mut self) -> Allowance {
--- a/src/net/http/clients/stream.rs
+++ b/src/net/http/clients/stream.rs
@@ -1,17 +1,18 @@
 //! A client's stream as the HTTP service reads and writes it, and its graceful close.
 
 use super::connection::{ClientConnection, Phase};
+use super::limits::REJECT_RESPONSE;
 use super::open_streams::CountedStream;
-use super::request_reader::RequestReader;
+use super::request_reader::{RequestPosition, RequestReader};
 use super::table::Registration;
 use crate::net::budget::MemoryBudget;
-use crate::net::close::{LINGER, close};
+use crate::net::close::{LINGER, close, close_between_requests};
 use rowanglade_http_exchange::stream::poll_write;
 use std::io;
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -26,6 +27,8 @@
     /// `None` once the connection is being closed.
     registration: Option<Registration>,
     reader: RequestReader,
+    /// Bytes that were written of the 503 to a request whose head has not arrived when the process exits.
+    rejection_written: usize,
 }
 
 impl ClientStream {
@@ -36,7 +39,7 @@
     ) -> ClientStream {
         let stream = Rc::clone(&connection.stream);
         let reader = RequestReader::new(Rc::clone(&connection), head_memory);
-        ClientStream { stream, connection, registration: Some(registration), reader }
+        ClientStream { stream, connection, registration: Some(registration), reader, rejection_written: 0 }
     }
 
     /// The connection's state.
@@ -65,6 +68,38 @@
         poll_write(&self.stream, cx, bytes)
     }
 
+    /// Ends the connection before the process exits, once everything that has arrived was read. Ready: the stream reads
+    /// as closed from now on. Pending: a request has its response first, or the client has not read the last one.
+    fn poll_finish(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        if self.connection.write_blocked_for(Instant::now()).is_some() {
+            return Poll::Pending;
+        }
+        match self.reader.position() {
+            RequestPosition::AfterHead => Poll::Pending,
+            RequestPosition::InHead => self.poll_reject(cx),
+            // The task is woken again for what the system has received.
+            RequestPosition::BetweenRequests if self.connection.unread_bytes() > 0 => Poll::Pending,
+            RequestPosition::BetweenRequests => {
+                self.connection.close_between_requests();
+                Poll::Ready(())
+            }
+        }
+    }
+
+    /// Writes a 503 to a request whose head has begun: its client has a whole response, although the request is not
+    /// whole. The HTTP service has written all that it had before, and writes nothing to a request that it has not
+    /// decoded. A failed write means that the client has gone.
+    fn poll_reject(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        while self.rejection_written < REJECT_RESPONSE.len() {
+            let rest = &REJECT_RESPONSE[self.rejection_written..];
+            match ready!(poll_write(&self.stream, cx, rest)) {
+                Ok(written) if written > 0 => self.rejection_written += written,
+                _ => break,
+            }
+        }
+        Poll::Ready(())
+    }
+
     /// Shuts writing down. Failure is ignored: it means that the client has closed the connection meanwhile.
     fn shut_down_writing(&self) {
         let _ = socket2::SockRef::from(self.tcp()).shutdown(Shutdown::Write);
@@ -96,6 +131,9 @@
             self.connection.resume();
         }
         if read.is_pending() {
+            if self.connection.is_finishing() && self.poll_finish(cx).is_ready() {
+                return Poll::Ready(Ok(()));
+            }
             self.connection.wake_on_change(cx.waker());
         } else if received && matches!(self.connection.phase(), Phase::Silent | Phase::Idle) {
             self.connection.set_phase(Phase::Head);
@@ -149,9 +187,15 @@
     let until = Instant::now() + linger;
     connection.set_phase(Phase::Closing);
     actix_rt::spawn(async move {
+        let closed = async {
+            match connection.closes_between_requests() {
+                true => close_between_requests(&connection.stream).await,
+                false => close(&connection.stream).await,
+            }
+        };
         tokio::select! {
             biased;
-            () = close(&connection.stream) => {}
+            () = closed => {}
             () = connection.evicted.notified(), if registered => {}
             () = tokio::time::sleep_until(until) => {}
         }
--- a/src/net/http/clients/table.rs
+++ b/src/net/http/clients/table.rs
@@ -45,6 +45,8 @@
     keep_idle: Cell<bool>,
     /// Whether the process is about to exit, so that closing a connection does not wait for its client.
     close_at_once: Cell<bool>,
+    /// Whether the process makes its last responses.
+    finishing: Cell<bool>,
     /// Connections that found no capacity and are being sent a 503.
     rejecting: Cell<usize>,
     next_id: Cell<u64>,
@@ -79,6 +81,7 @@
             max_idle: Cell::new(max_idle),
             keep_idle: Cell::new(false),
             close_at_once: Cell::new(false),
+            finishing: Cell::new(false),
             rejecting: Cell::new(0),
             next_id: Cell::new(0),
             open_streams: Rc::default(),
@@ -224,6 +227,15 @@
         self.0.keep_idle.set(true);
     }
 
+    /// Ends every connection before the process exits, those that are accepted later too: between requests, or with a
+    /// whole response to a request that has begun.
+    pub fn finish(&self) {
+        self.0.finishing.set(true);
+        for connection in self.0.connections.borrow().values() {
+            connection.finish();
+        }
+    }
+
     /// Closes connections from now on without waiting for their clients, because the process is about to
     /// exit.
     pub fn close_at_once(&self) {
@@ -267,6 +279,9 @@
     fn insert(&self, connection: &Rc<ClientConnection>) -> Registration {
         let id = self.0.next_id.get();
         self.0.next_id.set(id + 1);
+        if self.0.finishing.get() {
+            connection.finish();
+        }
         self.0.connections.borrow_mut().insert(id, Rc::clone(connection));
         Registration { table: self.clone(), id }
     }
--- a/src/net/http/server.rs
+++ b/src/net/http/server.rs
@@ -34,7 +34,7 @@
 pub struct Front {
     /// The core that requests are submitted to.
     pub core: CoreHandle,
-    /// Turns true when connections are to close: idle ones at once, the others after their responses.
+    /// Turns true when each response announces that it is the last of its connection.
     pub closing: watch::Receiver<bool>,
     /// The serving phase of this process. Clients are accepted while it serves; once it drains, connections
     /// close after their next response.
@@ -47,11 +47,12 @@
     pub write_buffer_bytes: usize,
 }
 
-/// Accepts clients until dropped. Their connections run on tasks of their own, and continue after that.
+/// Accepts clients until `stop` turns true or the future is dropped. Their connections run on tasks of their own, and
+/// continue after that.
 ///
 /// # Errors
 /// The HTTP service could not be started.
-pub async fn serve(listener: TcpListener, front: Front) -> io::Result<()> {
+pub async fn serve(listener: TcpListener, front: Front, mut stop: watch::Receiver<bool>) -> io::Result<()> {
     let service = Rc::new(http_service(&front).await?);
     let mut overdue_check = tokio::time::interval(OVERDUE_CHECK_INTERVAL);
     let mut phase = front.phase.clone();
@@ -64,6 +65,7 @@
             () = front.clients.connection_closed(), if !front.clients.may_accept() => continue,
             () = sleep(ROOM_CHECK_INTERVAL), if !front.clients.may_accept() => continue,
             Ok(()) = phase.changed() => continue,
+            Ok(_) = stop.wait_for(|stop| *stop) => return Ok(()),
             _ = overdue_check.tick() => {
                 front.clients.end_overdue();
                 continue;
@@ -84,7 +86,6 @@
     front: &Front,
 ) -> io::Result<impl Service<AcceptedStream, Error = DispatchError, Future: 'static> + 'static> {
     let handler = front.clone();
-    let closing = front.closing.clone();
     // The connection table applies the timeouts for idle connections and for heads, to every request and not
     // just the first.
     let factory = HttpService::<ClientStream, _, _>::build()
@@ -97,7 +98,6 @@
         })
         // A client that closes its side has disconnected: its handler is dropped, which notifies the core.
         .h1_allow_half_closed(false)
-        .graceful_shutdown_signal(move || wait_until_true(closing.clone()))
         .h1(fn_service(move |request: Request| {
             let front = handler.clone();
             async move { Ok::<_, Infallible>(respond(front, request).await) }
@@ -105,13 +105,6 @@
     factory.new_service(()).await.map_err(|()| io::Error::other("the HTTP service did not start"))
 }
 
-/// Resolves once the signal is true; never if its sender was dropped before.
-async fn wait_until_true(mut signal: watch::Receiver<bool>) {
-    if signal.wait_for(|on| *on).await.is_err() {
-        std::future::pending::<()>().await;
-    }
-}
-
 /// Serves a new connection on a task of its own, or rejects it where the table has no capacity.
 fn start_connection<S>(service: &Rc<S>, clients: &ConnectionTable, stream: TcpStream, peer: SocketAddr)
 where
--- a/src/scheduler/shutdown.rs
+++ b/src/scheduler/shutdown.rs
@@ -1,10 +1,14 @@
 //! The end of this process. From the start of a shutdown on, no request has its deadline after the last time
 //! at which the process still responds, so every rule on deadlines holds for that time too.
 
+use super::Scheduler;
 use super::request::RequestState;
-use super::{RESPONSE_MARGIN_MICROS, Scheduler};
 use crate::interface::{Micros, RequestId, TargetId};
 
+/// Nothing is sent to a target in this time before the last responses are due, whatever is predicted: on a busy machine
+/// a response may need this long to be passed on.
+const MIN_ATTEMPT_MICROS: Micros = 50_000;
+
 impl Scheduler {
     /// Handles the start of a shutdown: each response of this process is due by `responses_due`. An earlier
     /// time that is known already stays.
@@ -25,9 +29,9 @@
         self.responses_due.map_or(deadline, |responses_due| deadline.min(responses_due))
     }
 
-    /// Whether this process ends too early to respond to a request that arrives now.
+    /// Whether this process ends too early to pass on the response to a request that is sent now.
     pub(super) fn is_too_late_to_respond(&self, now: Micros) -> bool {
-        self.responses_due.is_some_and(|responses_due| now + RESPONSE_MARGIN_MICROS >= responses_due)
+        self.responses_due.is_some_and(|responses_due| now + MIN_ATTEMPT_MICROS >= responses_due)
     }
 
     /// Whether this process ends before it could pass on a response that is predicted for `completes_at`.
@@ -37,8 +41,11 @@
 
     /// Whether this process is predicted to end before a target has served a request that is sent now.
     pub(super) fn ends_before_served(&self, now: Micros, request: &RequestState, target: TargetId) -> bool {
-        self.responses_due.is_some()
-            && self.ends_before(now + self.predicted_time(now, target, request.class, request.units))
+        if self.responses_due.is_none() {
+            return false;
+        }
+        let served_at = now + self.predicted_time(now, target, request.class, request.units);
+        self.is_too_late_to_respond(now) || self.ends_before(served_at)
     }
 
     /// Brings a request's deadline forward. Requests are queued by their virtual deadline: all that are later
--- a/tests/network/shutdown.rs
+++ b/tests/network/shutdown.rs
@@ -10,6 +10,12 @@
 /// Connections are accepted at least this long after the shutdown begins.
 const ACCEPT_AFTER_SIGTERM: Duration = Duration::from_millis(750);
 
+/// How long a shutdown with [`short_deadlines`] takes at most: the longest deadline and 0.55 s.
+const SHUTDOWN_TIME: Duration = Duration::from_millis(800 + 550);
+
+/// How long after the request for shutdown the last responses are due, and idle connections are closed.
+const LAST_RESPONSES: Duration = Duration::from_millis(800 + 450);
+
 /// Shortens the deadlines so that the shutdown takes less than two seconds.
 fn short_deadlines(json: &mut serde_json::Value) {
     for grade in 0..2 {
@@ -90,7 +96,7 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
         initiator.shutdown.send(()).expect("the initiator runs");
         // One request every two milliseconds, around the moment in which the idle connections are closed.
-        let first_send = tokio::time::Instant::now() + ACCEPT_AFTER_SIGTERM - Duration::from_millis(80);
+        let first_send = tokio::time::Instant::now() + LAST_RESPONSES - Duration::from_millis(80);
         let clients = streams.into_iter().enumerate().map(|(i, mut stream)| async move {
             tokio::time::sleep_until(first_send + Duration::from_millis(2) * i as u32).await;
             // The write fails if the connection is closed already.
@@ -155,9 +161,6 @@
     });
 }
 
-/// How long a shutdown with [`short_deadlines`] takes at most: the longest deadline and 0.55 s.
-const SHUTDOWN_TIME: Duration = Duration::from_millis(800 + 550);
-
 // Guards against requests that are complete after the process has made its last responses: they were sent to
 // their target, ran there, and the process ended without answering them.
 #[test]
@@ -219,3 +222,177 @@
         assert!(stopped_at.elapsed() < Duration::from_millis(800 + 700), "{:?}", stopped_at.elapsed());
     });
 }
+
+// Guards against clients that are cut off in the middle of a head: what they finished afterwards was read and
+// discarded, and never answered. Each client has a whole response, whenever the head began.
+#[test]
+fn clients_that_write_heads_slowly_while_the_process_ends_have_whole_responses() {
+    const CLIENTS: u32 = 40;
+    const PIECES: usize = 16;
+    const WRITING_TIME: Duration = Duration::from_millis(800);
+    run_test(async {
+        let target = scripted_server((0..CLIENTS).map(|_| ok("served")).collect()).await;
+        let initiator =
+            start_initiator_with(&[endpoint_entry(target.addr, 0, "active")], None, None, short_deadlines)
+                .await;
+        let mut streams = Vec::new();
+        for _ in 0..CLIENTS {
+            streams.push(TcpStream::connect(initiator.http).await.expect("connected"));
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        initiator.shutdown.send(()).expect("the initiator runs");
+        let stopped_at = tokio::time::Instant::now();
+        let clients = streams.into_iter().zip(0..CLIENTS).map(|(mut stream, i)| async move {
+            let text = request("view", &format!("h{i}."), 0, "");
+            // The heads begin all through the shutdown, until connections without a request are closed.
+            let begin = stopped_at + (LAST_RESPONSES - Duration::from_millis(20)) * i / CLIENTS;
+            for (piece, bytes) in text.as_bytes().chunks(text.len().div_ceil(PIECES)).enumerate() {
+                tokio::time::sleep_until(begin + WRITING_TIME * piece as u32 / PIECES as u32).await;
+                // The write fails if the client has its response and the process has ended.
+                let _ = tokio::io::AsyncWriteExt::write_all(&mut stream, bytes).await;
+            }
+            read_until_closed(&mut stream).await
+        });
+        let (mut served, mut rejected) = (0, 0);
+        for (i, end) in futures_util::future::join_all(clients).await.into_iter().enumerate() {
+            let text = end.unwrap_or_else(|error| panic!("{i}: {error:?}"));
+            match text.get(..13) {
+                Some("HTTP/1.1 200 ") if text.ends_with("served") => served += 1,
+                Some("HTTP/1.1 503 ") if text.ends_with("\r\n\r\n") => rejected += 1,
+                _ => panic!("{i}: {text:?}"),
+            }
+        }
+        assert!(served > 0 && rejected > 0, "{served} served, {rejected} rejected");
+        initiator.task.await.expect("no panic").expect("no error");
+    });
+}
+
+// Guards against a head that is read ahead, behind another request, and is taken for a connection between requests.
+#[test]
+fn a_head_that_begins_behind_another_request_has_a_whole_response_at_the_end() {
+    run_test(async {
+        let target = scripted_server(vec![ok("one"), ok("two")]).await;
+        let initiator =
+            start_initiator_with(&[endpoint_entry(target.addr, 0, "active")], None, None, short_deadlines)
+                .await;
+        let mut client = TcpStream::connect(initiator.http).await.expect("connected");
+        let (first, second) = (request("view", "p1", 0, ""), request("view", "p2", 0, ""));
+        write_text(&mut client, &[&first, &second[..second.len() - 9]].concat()).await;
+        assert_eq!(read_message(&mut client).await.expect("answered").1, b"one");
+        initiator.shutdown.send(()).expect("the initiator runs");
+        let text = read_until_closed(&mut client).await.expect("no reset");
+        assert!(text.starts_with("HTTP/1.1 503 ") && text.contains("onnection: close"), "{text:?}");
+        drop(client);
+        initiator.task.await.expect("no panic").expect("no error");
+    });
+}
+
+// Guards against uploads that are under way when the process ends, short ones and streamed ones.
+#[test]
+fn uploads_that_are_under_way_at_the_end_have_whole_responses() {
+    run_test(async {
+        let target = scripted_server(vec![Step::Silence, Step::Silence]).await;
+        let initiator =
+            start_initiator_with(&[endpoint_entry(target.addr, 0, "active")], None, None, short_deadlines)
+                .await;
+        let mut clients = Vec::new();
+        for (number, length) in [(0, 6_000), (1, 200_000)] {
+            let mut client = TcpStream::connect(initiator.http).await.expect("connected");
+            let text = request("deposit", &format!("u{number}."), 0, &"x".repeat(length))
+                .replace("key-1", &format!("key-{number}"));
+            write_text(&mut client, &text[..text.len() - length / 10]).await;
+            clients.push(client);
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        initiator.shutdown.send(()).expect("the initiator runs");
+        for mut client in clients {
+            let text = read_until_closed(&mut client).await.expect("no reset");
+            assert!(text.starts_with("HTTP/1.1 503 ") && text.contains("onnection: close"), "{text:?}");
+        }
+        initiator.task.await.expect("no panic").expect("no error");
+    });
+}
+
+// Guards against connections that are closed long before the process ends although it could serve them, and against
+// busy clients whose next request crosses the close: their responses announce it.
+#[test]
+fn idle_connections_are_served_until_the_last_responses_are_due_and_told_of_the_close() {
+    run_test(async {
+        let target = scripted_server((0..2).map(|_| ok("x")).collect()).await;
+        let initiator =
+            start_initiator_with(&[endpoint_entry(target.addr, 0, "active")], None, None, short_deadlines)
+                .await;
+        let mut early = TcpStream::connect(initiator.http).await.expect("connected");
+        let mut late = TcpStream::connect(initiator.http).await.expect("connected");
+        initiator.shutdown.send(()).expect("the initiator runs");
+        let stopped_at = tokio::time::Instant::now();
+        assert_eq!(send_request_on(&mut early, &request("view", "e1", 0, "")).await, "200 x");
+        tokio::time::sleep_until(stopped_at + LAST_RESPONSES - Duration::from_millis(150)).await;
+        assert_eq!(send_request_on(&mut late, &request("view", "e2", 0, "")).await, "200 close x");
+        assert_eq!(read_until_closed(&mut late).await.as_deref(), Ok(""));
+        assert_eq!(read_until_closed(&mut early).await.as_deref(), Ok(""));
+        assert!(stopped_at.elapsed() >= LAST_RESPONSES);
+        drop((early, late));
+        initiator.task.await.expect("no panic").expect("no error");
+    });
+}
+
+// Guards against a request that crosses the close of an idle connection and is read and discarded: its client could
+// not tell it from one that ran. It stays unread, and the connection is reset.
+#[test]
+fn a_request_that_crosses_the_close_of_an_idle_connection_is_not_read() {
+    run_test(async {
+        let mut target = scripted_server(vec![ok("x")]).await;
+        let initiator =
+            start_initiator_with(&[endpoint_entry(target.addr, 0, "active")], None, None, short_deadlines)
+                .await;
+        let mut client = TcpStream::connect(initiator.http).await.expect("connected");
+        initiator.shutdown.send(()).expect("the initiator runs");
+        assert_eq!(client.read(&mut [0; 1]).await.ok(), Some(0), "the initiator closes its side");
+        write_text(&mut client, &request("view", "c1", 0, "")).await;
+        initiator.task.await.expect("no panic").expect("no error");
+        let mut reset = client.take_error().expect("the state of the socket is read");
+        for _ in 0..100 {
+            if reset.is_some() {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            reset = client.take_error().expect("the state of the socket is read");
+        }
+        assert!(reset.is_some(), "the connection is reset over the unread request");
+        assert!(target.received.try_recv().is_err(), "nothing is forwarded");
+    });
+}
+
+// Guards against a process that is stopped shortly before its end: it has less time for the last responses, and gives
+// them all the same.
+#[test]
+fn a_process_that_is_stopped_until_after_its_end_is_due_gives_its_last_responses() {
+    run_test(async {
+        let target = scripted_server(vec![Step::Silence]).await;
+        let initiator =
+            start_initiator_with(&[endpoint_entry(target.addr, 0, "active")], None, None, short_deadlines)
+                .await;
+        let connect = async || TcpStream::connect(initiator.http).await.expect("connected");
+        let (mut waiting, mut writing_head, mut writing_body) =
+            (connect().await, connect().await, connect().await);
+        write_text(&mut waiting, &request_with_long_deadline("deposit", "s1")).await;
+        write_text(&mut writing_head, "GET /view/0 HTTP/1.1\r\nHost: api").await;
+        let deposit = request("deposit", "s2", 0, "halved").replace("key-1", "key-2");
+        write_text(&mut writing_body, &deposit[..deposit.len() - 3]).await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        let stopped_at = Instant::now();
+        initiator.shutdown.send(()).expect("the initiator runs");
+        tokio::time::sleep_until((stopped_at + LAST_RESPONSES - Duration::from_millis(10)).into()).await;
+        std::thread::sleep(Duration::from_millis(150));
+        for (stream, status) in
+            [(&mut waiting, "500"), (&mut writing_head, "503"), (&mut writing_body, "503")]
+        {
+            let text = read_until_closed(stream).await.expect("no reset");
+            assert!(text.starts_with(&format!("HTTP/1.1 {status} ")), "{text:?}");
+        }
+        drop((waiting, writing_head, writing_body));
+        initiator.task.await.expect("no panic").expect("no error");
+        assert!(stopped_at.elapsed() < Duration::from_millis(800 + 700), "{:?}", stopped_at.elapsed());
+    });
+}
