Accept what waits in the system's queue before the listener closes

Callers would see: in a planned restart, a request on a connection that the system had accepted is reset, because the listener closes with the connection in its queue.

Cause: the future that accepts was dropped, and the listener with it.

Change: it is told to stop, accepts what the queue holds, asking the system itself, and returns.

Before: shutdown::clients_that_wait_in_the_queue_of_the_listener_when_it_closes_are_answered failed (connection reset).

--- a/src/net/http/server.rs
+++ b/src/net/http/server.rs
@@ -48,7 +48,7 @@
 }
 
 /// Accepts clients until `stop` turns true or the future is dropped. Their connections run on tasks of their own, and
-/// continue after that.
+/// continue after that. What waits in the system's queue when `stop` turns true is accepted before the listener closes.
 ///
 /// # Errors
 /// The HTTP service could not be started.
@@ -65,7 +65,12 @@
             () = front.clients.connection_closed(), if !front.clients.may_accept() => continue,
             () = sleep(ROOM_CHECK_INTERVAL), if !front.clients.may_accept() => continue,
             Ok(()) = phase.changed() => continue,
-            Ok(_) = stop.wait_for(|stop| *stop) => return Ok(()),
+            Ok(_) = stop.wait_for(|stop| *stop) => {
+                if accepting {
+                    accept_queued(&listener, &service, &front.clients);
+                }
+                return Ok(());
+            }
             _ = overdue_check.tick() => {
                 front.clients.end_overdue();
                 continue;
@@ -105,6 +110,21 @@
     factory.new_service(()).await.map_err(|()| io::Error::other("the HTTP service did not start"))
 }
 
+/// Accepts the connections that wait in the system's queue: closing the listener would reset them, with the requests
+/// that were written to them. The runtime may not have heard of the latest, so the system is asked itself.
+fn accept_queued<S>(listener: &TcpListener, service: &Rc<S>, clients: &ConnectionTable)
+where
+    S: Service<AcceptedStream, Error = DispatchError>,
+    S::Future: 'static,
+{
+    while let Ok((socket, peer)) = socket2::SockRef::from(listener).accept() {
+        let stream = socket.set_nonblocking(true).and_then(|()| TcpStream::from_std(socket.into()));
+        if let (Ok(stream), Some(peer)) = (stream, peer.as_socket()) {
+            start_connection(service, clients, stream, peer);
+        }
+    }
+}
+
 /// Serves a new connection on a task of its own, or rejects it where the table has no capacity.
 fn start_connection<S>(service: &Rc<S>, clients: &ConnectionTable, stream: TcpStream, peer: SocketAddr)
 where
--- a/tests/network/shutdown.rs
+++ b/tests/network/shutdown.rs
@@ -16,6 +16,9 @@
 /// How long after the request for shutdown the last responses are due, and idle connections are closed.
 const LAST_RESPONSES: Duration = Duration::from_millis(800 + 450);
 
+/// How long after the request for shutdown the listener closes.
+const LISTENER_CLOSES: Duration = Duration::from_millis(800 + 400);
+
 /// Shortens the deadlines so that the shutdown takes less than two seconds.
 fn short_deadlines(json: &mut serde_json::Value) {
     for grade in 0..2 {
@@ -364,6 +367,39 @@
     });
 }
 
+// Guards against clients that connect in the moment in which the listener closes: the system had accepted them, and
+// closing its queue reset their requests.
+#[test]
+fn clients_that_wait_in_the_queue_of_the_listener_when_it_closes_are_answered() {
+    const CLIENTS: u32 = 20;
+    run_test(async {
+        let target = scripted_server((0..CLIENTS).map(|_| ok("served")).collect()).await;
+        let initiator =
+            start_initiator_with(&[endpoint_entry(target.addr, 0, "active")], None, None, short_deadlines)
+                .await;
+        // Without a client the process would end earlier.
+        let kept = TcpStream::connect(initiator.http).await.expect("connected");
+        initiator.shutdown.send(()).expect("the initiator runs");
+        let closes_at = Instant::now() + LISTENER_CLOSES;
+        let addr = initiator.http;
+        let clients: Vec<_> = (0..CLIENTS)
+            .map(|i| {
+                let at = closes_at - Duration::from_millis(10) + Duration::from_micros(500) * i;
+                std::thread::spawn(move || connect_and_ask(addr, i, at))
+            })
+            .collect();
+        // The process is stopped while they connect, so that all of them wait in the queue.
+        tokio::time::sleep_until((closes_at - Duration::from_millis(15)).into()).await;
+        std::thread::sleep(Duration::from_millis(30));
+        initiator.task.await.expect("no panic").expect("no error");
+        drop(kept);
+        for (i, client) in clients.into_iter().enumerate() {
+            let text = client.join().expect("no panic").unwrap_or_else(|| panic!("{i} was refused"));
+            assert!(text.starts_with("HTTP/1.1 200 ") || text.starts_with("HTTP/1.1 503 "), "{i}: {text:?}");
+        }
+    });
+}
+
 // Guards against a process that is stopped shortly before its end: it has less time for the last responses, and gives
 // them all the same.
 #[test]
@@ -396,3 +432,20 @@
         assert!(stopped_at.elapsed() < Duration::from_millis(800 + 700), "{:?}", stopped_at.elapsed());
     });
 }
+
+/// Connects at `at` and sends a request in one write. Returns what comes back until the end of the connection; `None`:
+/// the connection was refused.
+fn connect_and_ask(addr: std::net::SocketAddr, number: u32, at: Instant) -> Option<String> {
+    use std::io::{Read, Write};
+    std::thread::sleep(at.saturating_duration_since(Instant::now()));
+    let mut stream = std::net::TcpStream::connect(addr).ok()?;
+    let text = request("view", &format!("n{number}."), 0, "");
+    if let Err(error) = stream.write_all(text.as_bytes()) {
+        return Some(error.to_string());
+    }
+    let mut answer = Vec::new();
+    match stream.read_to_end(&mut answer) {
+        Ok(_) => Some(String::from_utf8_lossy(&answer).into_owned()),
+        Err(error) => Some(error.to_string()),
+    }
+}
