--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -14,6 +14,7 @@
 mod outcome;
 mod plot;
 mod replays;
+mod restart;
 mod routes;
 mod runtime;
 mod scale;
@@ -52,6 +53,7 @@
         cold::experiments(),
         many_targets::experiments(),
         soak::experiments(),
+        restart::experiments(),
         memory::experiments(),
         scale::experiments(),
     ];
