Answer the writes of sessions whose data is half received when the process ends

Callers would see: in a planned restart, a client of the iSCSI-style front whose write had been answered with a request for its data gets no status if the data is not complete when the process ends.

Cause: a write is submitted with its last byte; before that neither core nor shutdown knew of it, and sessions were told of the end once, by the request to log out.

Change: sessions learn of the last responses as connections do. Incomplete writes get TASK SET FULL, which is harmless since nothing was submitted; a session ends between two commands, and is not read any more from then on.

--- a/crates/iscsi/src/reader.rs
+++ b/crates/iscsi/src/reader.rs
@@ -43,6 +43,11 @@
         self.stream
     }
 
+    /// Whether bytes of a PDU have been read that has not been returned.
+    pub fn is_inside_pdu(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
     /// The next PDU. Cancel safe: dropped before it resolves, it has lost nothing.
     ///
     /// # Errors
--- a/src/initiator/run.rs
+++ b/src/initiator/run.rs
@@ -30,6 +30,7 @@
                 classes: self.classes,
                 blocks_per_unit: iscsi.blocks_per_unit,
                 ending: ending.subscribe(),
+                finishing: signals.finish_sessions.subscribe(),
                 phase: self.phase.subscribe(),
                 bodies: self.memory.memory.bodies.clone(),
                 max_sessions: Rc::clone(&self.budget.max_sessions),
--- a/src/initiator/shutdown.rs
+++ b/src/initiator/shutdown.rs
@@ -63,6 +63,8 @@
     pub(super) announce_close: watch::Sender<bool>,
     /// The listener closes. Its task drops the receiver once that is done.
     pub(super) stop_accepting: watch::Sender<bool>,
+    /// Sessions end once their commands have responses.
+    pub(super) finish_sessions: watch::Sender<bool>,
 }
 
 impl Default for ShutdownSignals {
@@ -70,6 +72,7 @@
         ShutdownSignals {
             announce_close: watch::Sender::new(false),
             stop_accepting: watch::Sender::new(false),
+            finish_sessions: watch::Sender::new(false),
         }
     }
 }
@@ -113,6 +116,7 @@
         self.signals.stop_accepting.closed().await;
         self.wait_until_idle_or(self.schedule.responses_due).await;
         self.clients.finish();
+        self.signals.finish_sessions.send_replace(true);
         self.wait_for_last_writes().await;
     }
 
@@ -144,7 +148,8 @@
     async fn wait_for_last_writes(&self) {
         for poll in 0.. {
             let had_time = poll >= MIN_LAST_POLLS;
-            if self.is_idle() || (had_time && Instant::now() >= self.schedule.exit_at) {
+            let all_closed = self.is_idle() && (had_time || self.sessions.get() == 0);
+            if all_closed || (had_time && Instant::now() >= self.schedule.exit_at) {
                 return;
             }
             sleep(POLL_INTERVAL).await;
--- a/src/net/iscsi/front/commands.rs
+++ b/src/net/iscsi/front/commands.rs
@@ -17,8 +17,8 @@
 
 /// Retry-After of a command beyond the command window of its session.
 const SESSION_FULL_RETRY_AFTER: Duration = Duration::from_millis(100);
-/// Retry-After of a write for whose data no memory is left.
-const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(100);
+/// Retry-After of a write for whose data no memory or no time is left.
+const REJECTED_WRITE_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// The most bytes that a command transfers.
 const MAX_TRANSFER_BYTES: u64 = MAX_SEGMENT_BYTES as u64;
 
@@ -108,7 +108,7 @@
         let Some(Task::ReceivingData(write)) = self.tasks.get_mut(&itt) else { return };
         if !write.memory.admits_more() {
             self.tasks.remove(&itt);
-            self.send_status(itt, scsi::TASK_SET_FULL, NO_MEMORY_RETRY_AFTER, None);
+            self.reject_write(itt);
             return;
         }
         let fits = write.append(offset, data);
@@ -156,14 +156,21 @@
     fn start_write(&mut self, pdu: CommandPdu, command: Command, deadline: Duration) {
         let mut memory = self.front.bodies.reservation();
         if !memory.try_grow(pdu.length as usize) {
-            self.send_status(pdu.itt, scsi::TASK_SET_FULL, NO_MEMORY_RETRY_AFTER, None);
+            self.reject_write(pdu.itt);
         } else if pdu.data.len() == pdu.length as usize {
             self.submit(pdu.itt, pdu.lun, command, None, memory.hold(pdu.data));
+        } else if self.finishing {
+            self.reject_write(pdu.itt);
         } else {
             self.request_data(pdu, command, deadline, memory);
         }
     }
 
+    /// Rejects a write for which no memory or no time is left. It was not submitted, so that its client may send it again.
+    pub(super) fn reject_write(&mut self, itt: u32) {
+        self.send_status(itt, scsi::TASK_SET_FULL, REJECTED_WRITE_RETRY_AFTER, None);
+    }
+
     /// Requests the rest of a write's data with an R2T.
     fn request_data(
         &mut self,
--- a/src/net/iscsi/front/mod.rs
+++ b/src/net/iscsi/front/mod.rs
@@ -11,10 +11,10 @@
 use crate::net::Phase;
 use crate::net::accept::{AcceptFailures, pause};
 use crate::net::budget::MemoryBudget;
-use crate::net::close::{LINGER, close};
+use crate::net::close::{LINGER, close, close_between_requests};
 use rowanglade_iscsi::PduReader;
 use rowanglade_iscsi::login;
-use session::Session;
+use session::{Session, SessionEnd};
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::io;
@@ -56,6 +56,8 @@
     pub blocks_per_unit: u32,
     /// Turns true when sessions are to end: clients are then asked to log out.
     pub ending: watch::Receiver<bool>,
+    /// Turns true when sessions end once their commands have responses, because the process is about to exit.
+    pub finishing: watch::Receiver<bool>,
     /// The serving phase of this process: sessions are accepted while it serves.
     pub phase: watch::Receiver<Phase>,
     /// The memory for the data of writes.
@@ -115,8 +117,14 @@
     let ended = log_in_and_run(front, &mut reader, &mut writer, client).await;
     // The open requests have been cancelled with the session. A reset would discard the last response,
     // whatever the client still sends.
-    let _ = tokio::time::timeout(LINGER, close(writer.as_ref())).await;
-    ended
+    let closed = async {
+        match ended {
+            Ok(SessionEnd::BetweenCommands) => close_between_requests(writer.as_ref()).await,
+            Ok(SessionEnd::ByClient) | Err(_) => close(writer.as_ref()).await,
+        }
+    };
+    let _ = tokio::time::timeout(LINGER, closed).await;
+    ended.map(drop)
 }
 
 async fn log_in_and_run(
@@ -124,7 +132,7 @@
     reader: &mut PduReader<OwnedReadHalf>,
     writer: &mut OwnedWriteHalf,
     client: Option<SocketAddr>,
-) -> io::Result<()> {
+) -> io::Result<SessionEnd> {
     let login = login::accept(reader, writer, &front.name, COMMAND_WINDOW);
     let parameters = tokio::time::timeout(LOGIN_TIMEOUT, login).await??;
     Session::new(front, client, parameters, writer).run(reader).await
--- a/src/net/iscsi/front/send_buffer.rs
+++ b/src/net/iscsi/front/send_buffer.rs
@@ -1,6 +1,6 @@
 //! PDUs that wait to be written to a client.
 
-use crate::net::close::read_closed;
+use crate::net::close::{read_closed, unread_bytes};
 use bytes::{Buf, BytesMut};
 use rowanglade_iscsi::Pdu;
 use std::io;
@@ -52,6 +52,11 @@
         read_closed(self.writer.as_ref()).await;
     }
 
+    /// The number of bytes that the system has received from the client and that have not been read.
+    pub(super) fn unread_bytes(&self) -> u64 {
+        unread_bytes(self.writer.as_ref())
+    }
+
     /// Resolves once the connection may accept bytes. Cancel safe.
     pub(super) async fn writable(&self) -> io::Result<()> {
         self.writer.writable().await
--- a/src/net/iscsi/front/session.rs
+++ b/src/net/iscsi/front/session.rs
@@ -2,7 +2,7 @@
 
 use super::send_buffer::SendBuffer;
 use super::session_id::SessionId;
-use super::tasks::{CompletedTask, Task, data_deadline};
+use super::tasks::{CompletedTask, Task, data_deadline, incomplete_writes};
 use super::{COMMAND_WINDOW, Front};
 use futures_util::StreamExt;
 use futures_util::future::{Abortable, LocalBoxFuture};
@@ -27,6 +27,15 @@
 /// Response code of a logout that closed the session.
 const SESSION_CLOSED: u8 = 0;
 
+/// How a session ended without an error.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum SessionEnd {
+    /// Its client logged out or closed its side.
+    ByClient,
+    /// The process is about to exit, and every command has its response.
+    BetweenCommands,
+}
+
 /// One session of a client.
 pub(super) struct Session<'a> {
     pub(super) front: &'a Front,
@@ -39,6 +48,8 @@
     /// Whether the client has closed its side. PDUs that it sent before may still be unread; nothing more is
     /// submitted.
     pub(super) client_closed: bool,
+    /// Whether the process is about to exit: no more data is requested, and the session ends between two commands.
+    pub(super) finishing: bool,
     pub(super) tasks: HashMap<u32, Task>,
     /// Responses that the core has not given yet. Dropping them notifies the core that the client has
     /// disconnected.
@@ -74,6 +85,7 @@
             parameters,
             out: SendBuffer::new(writer),
             client_closed: false,
+            finishing: false,
             tasks: HashMap::new(),
             responses: FuturesUnordered::new(),
             completed: VecDeque::new(),
@@ -82,11 +94,12 @@
     }
 
     /// Serves until the session ends, then writes what is still buffered.
-    pub(super) async fn run(mut self, reader: &mut PduReader<OwnedReadHalf>) -> io::Result<()> {
+    pub(super) async fn run(mut self, reader: &mut PduReader<OwnedReadHalf>) -> io::Result<SessionEnd> {
         let ended = self.serve(reader).await;
         self.cancel_tasks();
         let flushed = tokio::time::timeout(WRITE_TIMEOUT, self.out.flush());
-        ended.and(flushed.await?)
+        let flushed = flushed.await?;
+        ended.and_then(|end| flushed.map(|()| end))
     }
 
     /// Drops all open tasks, because the client expects no more responses. The drop notifies the core.
@@ -96,11 +109,15 @@
         self.completed.clear();
     }
 
-    async fn serve(&mut self, reader: &mut PduReader<OwnedReadHalf>) -> io::Result<()> {
+    async fn serve(&mut self, reader: &mut PduReader<OwnedReadHalf>) -> io::Result<SessionEnd> {
         let mut ending = self.front.ending.clone();
+        let mut finishing = self.front.finishing.clone();
         let mut logout_requested = false;
         loop {
             self.send_completed();
+            if self.finishing && !reader.is_inside_pdu() && self.is_between_commands() {
+                return Ok(SessionEnd::BetweenCommands);
+            }
             let data_deadline = data_deadline(&self.tasks);
             let write_deadline = self.out.progress_at() + WRITE_TIMEOUT;
             tokio::select! {
@@ -127,8 +144,10 @@
                         self.request_logout();
                     }
                 }
+                // Without its sender the process is ending too.
+                _ = finishing.wait_for(|finishing| *finishing), if !self.finishing => self.begin_finishing(),
                 read = reader.next() => if self.handle_read(read)?.is_break() {
-                    return Ok(());
+                    return Ok(SessionEnd::ByClient);
                 },
             }
             if self.out.len() > MAX_UNSENT_BYTES {
@@ -160,6 +179,24 @@
         Ok(ControlFlow::Continue(()))
     }
 
+    /// Answers the writes whose data has not arrived: none of them was submitted. Commands that are submitted have their
+    /// responses by now.
+    fn begin_finishing(&mut self) {
+        self.finishing = true;
+        for itt in incomplete_writes(&self.tasks) {
+            self.tasks.remove(&itt);
+            self.reject_write(itt);
+        }
+    }
+
+    /// Whether every command that has arrived has its response, and the responses are written.
+    fn is_between_commands(&self) -> bool {
+        self.tasks.is_empty()
+            && self.completed.is_empty()
+            && self.out.is_empty()
+            && self.out.unread_bytes() == 0
+    }
+
     fn request_logout(&mut self) {
         let seq = self.next_sequence();
         let parameters = [0, 0, LOGOUT_TIME_SECS];
--- a/src/net/iscsi/front/tasks.rs
+++ b/src/net/iscsi/front/tasks.rs
@@ -59,6 +59,12 @@
     deadlines.min()
 }
 
+/// The tags of writes whose data is incomplete.
+pub(super) fn incomplete_writes(tasks: &HashMap<u32, Task>) -> Vec<u32> {
+    let incomplete = tasks.iter().filter(|(_, task)| matches!(task, Task::ReceivingData(_)));
+    incomplete.map(|(itt, _)| *itt).collect()
+}
+
 /// The tags of writes whose data is incomplete at their deadline.
 pub(super) fn overdue_writes(tasks: &HashMap<u32, Task>) -> Vec<u32> {
     let now = Instant::now();
--- a/tests/network/main.rs
+++ b/tests/network/main.rs
@@ -15,6 +15,7 @@
 mod iscsi_memory;
 mod iscsi_request_ids;
 mod iscsi_session_ids;
+mod iscsi_shutdown;
 mod late_connections;
 mod lost_site;
 mod memory;
--- a/tests/network/shutdown.rs
+++ b/tests/network/shutdown.rs
@@ -14,13 +14,13 @@
 const SHUTDOWN_TIME: Duration = Duration::from_millis(800 + 550);
 
 /// How long after the request for shutdown the last responses are due, and idle connections are closed.
-const LAST_RESPONSES: Duration = Duration::from_millis(800 + 450);
+pub const LAST_RESPONSES: Duration = Duration::from_millis(800 + 450);
 
 /// How long after the request for shutdown the listener closes.
 const LISTENER_CLOSES: Duration = Duration::from_millis(800 + 400);
 
 /// Shortens the deadlines so that the shutdown takes less than two seconds.
-fn short_deadlines(json: &mut serde_json::Value) {
+pub fn short_deadlines(json: &mut serde_json::Value) {
     for grade in 0..2 {
         json["settings"]["grades"][grade]["promise"] = 300_000.into();
         json["settings"]["grades"][grade]["hard-limit"] = 800_000.into();
