--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -56,9 +56,9 @@
     routes: Routes,
     /// Newly loaded routes take effect between two messages.
     loaded_routes: watch::Receiver<Arc<LoadedRoutes>>,
-    /// Absent where initiators do not exchange quota.
     /// The ids of requests that are open or may have run.
     request_ids: RequestIds,
+    /// Absent where initiators do not exchange quota.
     quota: Option<QuotaPeers>,
     /// Units that the scheduler offered in its latest [`Action::QuotaOffered`].
     quota_offered: f64,
--- a/src/net/http/clients/connection.rs
+++ b/src/net/http/clients/connection.rs
@@ -1,6 +1,7 @@
 //! The state of one client's connection, which its stream, its handler and the table share.
 
 use super::body_reading::BodyReading;
+use super::guards::{ActiveRequest, AwaitingResponse};
 use super::open_streams::CountedStream;
 use crate::net::close::{read_closed, unread_bytes};
 use std::cell::{Cell, RefCell};
@@ -261,8 +262,7 @@
 
     /// Marks a request of this client as submitted to the core for as long as the guard is held.
     pub fn await_response(self: &Rc<Self>) -> AwaitingResponse {
-        self.awaiting_response.set(true);
-        AwaitingResponse(Rc::clone(self))
+        AwaitingResponse::new(self)
     }
 
     /// Whether the client has closed its side while one of its requests waits for a response.
@@ -276,7 +276,18 @@
         self.is_shed.set(false);
         self.body_reading.reset();
         self.set_phase(Phase::Busy);
-        ActiveRequest(Rc::clone(self))
+        ActiveRequest::new(self)
+    }
+
+    /// Ends the handling of a request: what arrives now belongs to the next.
+    pub(super) fn end_request(&self) {
+        self.set_phase(Phase::Idle);
+        self.wake_reader();
+    }
+
+    /// Records whether the core has a request of this client without a response.
+    pub(super) fn set_awaiting_response(&self, awaiting: bool) {
+        self.awaiting_response.set(awaiting);
     }
 
     pub(super) fn set_phase(&self, phase: Phase) {
@@ -334,24 +345,3 @@
         *self.read_waker.borrow_mut() = Some(waker.clone());
     }
 }
-
-/// Keeps a connection busy until it is dropped; see [`ClientConnection::begin_request`].
-#[derive(Debug)]
-pub struct ActiveRequest(Rc<ClientConnection>);
-
-impl Drop for ActiveRequest {
-    fn drop(&mut self) {
-        self.0.set_phase(Phase::Idle);
-        self.0.wake_reader();
-    }
-}
-
-/// Marks a request as submitted to the core until it is dropped; see [`ClientConnection::await_response`].
-#[derive(Debug)]
-pub struct AwaitingResponse(Rc<ClientConnection>);
-
-impl Drop for AwaitingResponse {
-    fn drop(&mut self) {
-        self.0.awaiting_response.set(false);
-    }
-}
--- a/src/net/http/clients/mod.rs
+++ b/src/net/http/clients/mod.rs
@@ -7,6 +7,7 @@
 
 mod body_reading;
 mod connection;
+mod guards;
 mod head_scanner;
 mod limits;
 mod open_streams;
@@ -16,7 +17,8 @@
 mod surplus;
 mod table;
 
-pub use connection::{ActiveRequest, AwaitingResponse, ClientConnection};
+pub use connection::ClientConnection;
+pub use guards::{ActiveRequest, AwaitingResponse};
 pub use limits::{
     BODY_READ_BYTES, EVICTION_MIN_AGE, HEAD_TIMEOUT, IDLE_TIMEOUT, MAX_HEAD_BYTES, MAX_PIPELINED_BYTES,
     MAX_PIPELINED_HEADS, MAX_UNREGISTERED, MIN_SHED_STALL, SURPLUS_IDLE_TIMEOUT, UNCROWDED_DIVISOR,
--- a/tests/network/shutdown.rs
+++ b/tests/network/shutdown.rs
@@ -400,6 +400,40 @@
     });
 }
 
+// Guards against a shutdown that ends before its own steps where deadlines are short: new clients were accepted for
+// longer than the process may live, and the core was told of the end after it.
+#[test]
+fn with_deadlines_of_a_tenth_of_a_second_the_shutdown_keeps_its_steps_and_its_end() {
+    run_test(async {
+        let target = scripted_server(vec![ok("x")]).await;
+        let very_short_deadlines = |json: &mut serde_json::Value| {
+            for grade in 0..2 {
+                json["settings"]["grades"][grade]["promise"] = 50_000.into();
+                json["settings"]["grades"][grade]["hard-limit"] = 100_000.into();
+            }
+        };
+        let initiator = start_initiator_with(
+            &[endpoint_entry(target.addr, 0, "active")],
+            None,
+            None,
+            very_short_deadlines,
+        )
+        .await;
+        let connect = async || TcpStream::connect(initiator.http).await.expect("connected");
+        let (mut idle, mut writing_head) = (connect().await, connect().await);
+        write_text(&mut writing_head, "GET /view/0 HTTP/1.1\r\nHost: api").await;
+        let stopped_at = Instant::now();
+        initiator.shutdown.send(()).expect("the initiator runs");
+        assert_eq!(send_request_on(&mut idle, &request("view", "d1", 0, "")).await, "200 x");
+        let text = read_until_closed(&mut writing_head).await.expect("no reset");
+        assert!(text.starts_with("HTTP/1.1 503 "), "{text:?}");
+        assert_eq!(read_until_closed(&mut idle).await.as_deref(), Ok(""));
+        drop((idle, writing_head));
+        initiator.task.await.expect("no panic").expect("no error");
+        assert!(stopped_at.elapsed() < Duration::from_millis(100 + 700), "{:?}", stopped_at.elapsed());
+    });
+}
+
 // Guards against a process that is stopped shortly before its end: it has less time for the last responses, and gives
 // them all the same.
 #[test]
