Keep a poll of discovery due when a reload changes the address

Cause: each change of the address planned the next request anew, behind the next reload for the last parts of the second.

Change: a request that was due before stays due then.

--- a/crates/discovery-polling/src/schedule.rs
+++ b/crates/discovery-polling/src/schedule.rs
@@ -90,12 +90,15 @@
     }
 
     /// Handles a change of discovery's address. The driver drops all requests in flight itself; no command to
-    /// cancel them follows.
+    /// cancel them follows. A request that was due before stays due then: changes in quick succession would put it off
+    /// again and again.
     pub fn handle_address_change(&mut self, now: Micros) {
+        let was_due_at = self.send_at;
         self.in_flight.clear();
         self.commands.clear();
         self.pacer.reset_failures();
         self.catch_up(now, self.pacer.spread_after_address_change(), HEDGE_AFTER);
+        self.send_at = self.send_at.into_iter().chain(was_due_at).min();
     }
 
     /// Whether a watch is open.
--- a/crates/discovery-polling/tests/schedule.rs
+++ b/crates/discovery-polling/tests/schedule.rs
@@ -281,6 +281,37 @@
     assert!(!client.schedule.is_watching());
 }
 
+// Guards against reloads in quick succession, each of which planned the next request anew: the last of eight initiators
+// polled nothing for as long as they went on, and its targets that drained were sent requests.
+#[test]
+fn reloads_in_quick_succession_do_not_put_off_a_request_that_is_due() {
+    const RELOAD_INTERVAL: Micros = 800 * MS;
+    for instance_index in 0..8 {
+        let config = PollingConfig { instance_index: Some(instance_index), ..polled(10 * SECOND, 8) };
+        let (client, _) = Client::watching(config);
+        let (mut schedule, first_reload_at) = (client.schedule, client.now);
+        let mut received_at = first_reload_at;
+        for reload in 0..40 {
+            let reloaded_at = first_reload_at + reload * RELOAD_INTERVAL;
+            schedule.handle_address_change(reloaded_at);
+            let next_reload_at = reloaded_at + RELOAD_INTERVAL;
+            while let Some(at) = schedule.next_timeout().filter(|at| *at < next_reload_at) {
+                while let Some(command) = schedule.poll(at) {
+                    if let Command::Send(request) = command
+                        && request.max_wait == 0
+                    {
+                        // Discovery answers at once.
+                        schedule.handle_outcome(at, request.id, Outcome::Received);
+                        received_at = at;
+                    }
+                }
+            }
+            let since = next_reload_at - received_at;
+            assert!(since <= 2 * SECOND, "initiator {instance_index}: {} ms without the list", since / MS);
+        }
+    }
+}
+
 #[test]
 fn a_subscription_needs_no_further_requests_until_it_breaks() {
     let config = PollingConfig { watch_mode: WatchMode::Subscription, ..polled(10 * SECOND, 3) };
