--- a/src/scheduler/shutdown.rs
+++ b/src/scheduler/shutdown.rs
@@ -5,8 +5,8 @@
 use super::request::RequestState;
 use crate::interface::{Micros, RequestId, TargetId};
 
-/// Nothing is sent to a target in this time before the last responses are due, whatever is predicted: on a busy machine
-/// a response may need this long to be passed on.
+/// Nothing is sent to a target in this time before the last responses are due, whatever is predicted: on a
+/// busy machine a response may need this long to be passed on.
 const MIN_ATTEMPT_MICROS: Micros = 50_000;
 
 impl Scheduler {
